--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# Every target sets itself up from an empty checkout.
+VENV := .venv
+PY := $(VENV)/bin/python
+READY := $(VENV)/.ready
+
+.PHONY: demo test lint bench fuzz capacity proofs format
+
+$(READY): requirements.txt pyproject.toml
+	python3 -m venv $(VENV)
+	$(VENV)/bin/pip install -q --disable-pip-version-check -r requirements.txt
+	$(VENV)/bin/pip install -q --disable-pip-version-check --no-deps -e .
+	touch $(READY)
+
+demo: $(READY)
+	$(PY) -m bench.demo
+
+test: $(READY)
+	$(PY) -m pytest -q
+
+lint: $(READY)
+	$(VENV)/bin/ruff check .
+	$(VENV)/bin/ruff format --check .
+
+format: $(READY)
+	$(VENV)/bin/ruff check --fix .
+	$(VENV)/bin/ruff format .
+
+bench: $(READY)
+	$(PY) -m bench.run
+
+fuzz: $(READY)
+	$(PY) -m bench.fuzz
+
+capacity: $(READY)
+	$(PY) -m bench.capacity
+
+proofs: $(READY)
+	$(PY) -m bench.proofs
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments, load and capacity measurements."""
--- /dev/null
+++ b/carawaylane/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Functions behind the command line."""
--- /dev/null
+++ b/carawaylane/commands/output.py
@@ -0,0 +1,37 @@
+"""Tables for people and JSON for programs."""
+
+from __future__ import annotations
+
+from json import dumps
+from typing import Any
+
+from rich.console import Console
+from rich.table import Table
+
+Rows = list[dict[str, Any]]
+
+
+def render(rows: Rows, *, output: str) -> str:
+    """Return rows as a table or as JSON."""
+    if output == 'json':
+        return dumps(rows, indent=2, default=str)
+    if not rows:
+        return 'nothing found'
+    columns = list(dict.fromkeys(key for row in rows for key in row))
+    table = Table(box=None, pad_edge=False)
+    for name in columns:
+        table.add_column(name, overflow='fold')
+    for row in rows:
+        table.add_row(*(_cell(row.get(name, '')) for name in columns))
+    console = Console(width=max(100, 18 * len(columns)), no_color=True)
+    with console.capture() as captured:
+        console.print(table)
+    return captured.get().rstrip()
+
+
+def _cell(value: Any) -> str:
+    if isinstance(value, dict):
+        return ','.join(f'{key}={item}' for key, item in value.items())
+    if isinstance(value, list):
+        return ','.join(str(item) for item in value)
+    return str(value)
--- /dev/null
+++ b/carawaylane/config/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' documents: schema, selectors and checks."""
--- /dev/null
+++ b/carawaylane/config/state.py
@@ -0,0 +1,70 @@
+"""The whole configuration, as a fold of the configuration log."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from attrs import Factory, define
+
+from carawaylane.config.documents import from_json, to_json
+from carawaylane.config.schema import (
+    Document,
+    Service,
+    Target,
+    TrafficKind,
+    kind_of,
+)
+
+if TYPE_CHECKING:
+    from carawaylane.decisions.changelog import Change
+
+DocumentKey = tuple[str, str]
+
+
+@define(kw_only=True)
+class ConfigState:
+    """Documents by kind and name, and the place that last changed each."""
+
+    docs: dict[DocumentKey, Document] = Factory(dict)
+    changed: dict[DocumentKey, int] = Factory(dict)
+    authors: dict[int, str] = Factory(dict)
+
+    def apply(self, change: Change) -> None:
+        """Apply one accepted change."""
+        for row in change.body.get('put', ()):
+            doc = from_json(row)
+            key = (kind_of(doc), doc.name)
+            self.docs[key] = doc
+            self.changed[key] = change.seq
+        for kind, name in change.body.get('delete', ()):
+            self.docs.pop((kind, name), None)
+            self.changed[(kind, name)] = change.seq
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state as a JSON object."""
+        return {
+            'docs': [to_json(doc) for doc in self.docs.values()],
+            'changed': [[*key, seq] for key, seq in self.changed.items()],
+        }
+
+    def load(self, dumped: dict[str, Any]) -> None:
+        """Replace the state by a dumped one."""
+        docs = [from_json(row) for row in dumped.get('docs', ())]
+        self.docs = {(kind_of(doc), doc.name): doc for doc in docs}
+        self.changed = {
+            (kind, name): seq for kind, name, seq in dumped.get('changed', ())
+        }
+
+    def services(self) -> list[Service]:
+        """Return all services."""
+        return [doc for doc in self.docs.values() if isinstance(doc, Service)]
+
+    def traffic_kinds(self) -> list[TrafficKind]:
+        """Return all traffic kinds."""
+        return [
+            doc for doc in self.docs.values() if isinstance(doc, TrafficKind)
+        ]
+
+    def targets(self) -> list[Target]:
+        """Return all targets."""
+        return [doc for doc in self.docs.values() if isinstance(doc, Target)]
--- /dev/null
+++ b/carawaylane/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Policy as plain classes, free of sockets and clocks."""
--- /dev/null
+++ b/carawaylane/decisions/ledger.py
@@ -0,0 +1,207 @@
+"""Record of the keys that an owner has run, for one shard.
+
+The ledger never forgets a key within the resend window. At its bound it
+first drops stored answers, oldest first, then refuses new keys.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from attrs import Factory, define, evolve, frozen
+
+from carawaylane.messages.outcomes import Answered
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+# A refused key runs again only for an attempt accepted this much later,
+# which outlasts the clock difference between two hosts.
+REFUSAL_MARGIN_MS = 250
+# Share of a record beside its answer.
+RECORD_OVERHEAD_BYTES = 400
+
+
+class State(Enum):
+    """What is known of a key."""
+
+    RUNNING = 0
+    ANSWERED = 1
+    UNKNOWN = 2
+    REFUSED = 3
+
+
+@frozen(kw_only=True)
+class Record:
+    """What is known of one key, with its first answer while kept."""
+
+    key: str
+    state: State
+    at_ms: int
+    answer: Answered | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Run:
+    """The key is new here: run it."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Join:
+    """The key is running: wait for its outcome."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Replay:
+    """The key has run: give its first answer again."""
+
+    answer: Answered
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Doubtful:
+    """The key may have run and must not run again."""
+
+    reason: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Refuse:
+    """The key has not run and does not run now."""
+
+    reason: str
+
+
+Verdict = Run | Join | Replay | Doubtful | Refuse
+
+
+@define(kw_only=True)
+class Ledger:
+    """Keys of one shard within the resend window."""
+
+    window_ms: int
+    max_bytes: int
+    records: OrderedDict[str, Record] = Factory(OrderedDict)
+    answer_bytes: int = 0
+
+    def admit(self, *, key: str, accepted_ms: int, now_ms: int) -> Verdict:
+        """Decide on an attempt and, to run it, record it first."""
+        self.expire(now_ms)
+        record = self.records.get(key)
+        if record is not None:
+            return self._readmit(record, accepted_ms, now_ms)
+        if self._full():
+            return Refuse(reason='the record of keys is full')
+        self._put(Record(key=key, state=State.RUNNING, at_ms=now_ms))
+        return Run()
+
+    def settled(self, key: str, now_ms: int) -> bool:
+        """Return whether the record alone decides on the key."""
+        self.expire(now_ms)
+        record = self.records.get(key)
+        return record is not None and record.state is not State.REFUSED
+
+    def answered(self, key: str, answer: Answered | None, now_ms: int) -> None:
+        """Record that a key ran, with its first answer if it is kept."""
+        self._put(
+            Record(key=key, state=State.ANSWERED, at_ms=now_ms, answer=answer)
+        )
+        self._drop_answers()
+
+    def doubt(self, key: str, now_ms: int) -> None:
+        """Record that a key may have run."""
+        self._put(Record(key=key, state=State.UNKNOWN, at_ms=now_ms))
+
+    def refuse(self, key: str, now_ms: int) -> None:
+        """Record that a key did not run, against late older attempts."""
+        self._put(Record(key=key, state=State.REFUSED, at_ms=now_ms))
+
+    def adopt(
+        self, records: Iterable[Record], *, still_running: bool = False
+    ) -> None:
+        """Take over records of an earlier owner or of entries.
+
+        A key that runs elsewhere is doubtful here, unless `still_running`
+        says that its outcome will follow.
+        """
+        for record in records:
+            if record.state is State.RUNNING and not still_running:
+                record = evolve(record, state=State.UNKNOWN)
+            mine = self.records.get(record.key)
+            if mine is None or _tells_more(record, mine):
+                self._put(record)
+        self._drop_answers()
+
+    def expire(self, now_ms: int) -> None:
+        """Forget keys older than the window."""
+        horizon_ms = now_ms - self.window_ms
+        for key, record in list(self.records.items()):
+            if record.at_ms > horizon_ms:
+                return
+            if record.state is not State.RUNNING:
+                self._remove(key)
+
+    def _readmit(
+        self, record: Record, accepted_ms: int, now_ms: int
+    ) -> Verdict:
+        match record.state:
+            case State.RUNNING:
+                return Join()
+            case State.ANSWERED if record.answer is not None:
+                return Replay(answer=record.answer)
+            case State.ANSWERED:
+                return Doubtful(reason='it ran; its answer is not kept')
+            case State.UNKNOWN:
+                return Doubtful(reason='an earlier attempt may have run')
+        if accepted_ms <= record.at_ms + REFUSAL_MARGIN_MS:
+            return Refuse(reason='a later attempt was refused')
+        self._put(Record(key=record.key, state=State.RUNNING, at_ms=now_ms))
+        return Run()
+
+    def _full(self) -> bool:
+        return self._bytes() + RECORD_OVERHEAD_BYTES > self.max_bytes
+
+    def _bytes(self) -> int:
+        overhead = len(self.records) * RECORD_OVERHEAD_BYTES
+        return overhead + self.answer_bytes
+
+    def _put(self, record: Record) -> None:
+        self._remove(record.key)
+        self.records[record.key] = record
+        self.answer_bytes += _answer_bytes(record)
+
+    def _remove(self, key: str) -> None:
+        old = self.records.pop(key, None)
+        if old is not None:
+            self.answer_bytes -= _answer_bytes(old)
+
+    def _drop_answers(self) -> None:
+        if self._bytes() <= self.max_bytes:
+            return
+        for key, record in list(self.records.items()):
+            if record.answer is None:
+                continue
+            self.answer_bytes -= _answer_bytes(record)
+            self.records[key] = evolve(record, answer=None)
+            if self._bytes() <= self.max_bytes:
+                return
+
+
+def _answer_bytes(record: Record) -> int:
+    if record.answer is None:
+        return 0
+    names = sum(len(k) + len(v) for k, v in record.answer.headers)
+    return len(record.answer.body) + names
+
+
+def _tells_more(new: Record, old: Record) -> bool:
+    if new.state is State.ANSWERED:
+        return old.state is not State.ANSWERED
+    if new.state is State.REFUSED:
+        return old.state is State.REFUSED and new.at_ms > old.at_ms
+    if new.state is State.UNKNOWN:
+        return old.state in (State.REFUSED, State.RUNNING)
+    return old.state is State.REFUSED
--- /dev/null
+++ b/carawaylane/kernel/__init__.py
@@ -0,0 +1,1 @@
+"""Registry of services, mailboxes and their lifecycle."""
--- /dev/null
+++ b/carawaylane/kernel/kernel.py
@@ -0,0 +1,66 @@
+"""The kernel of a node: starts, finds, drains and stops services."""
+
+from __future__ import annotations
+
+from asyncio import Event
+from time import monotonic, time
+from typing import TYPE_CHECKING, Any
+
+from carawaylane.kernel.service import Service, service_classes
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from carawaylane.settings.settings import Settings
+
+
+class Kernel:
+    """All services of one node, by name, and its identity and clocks."""
+
+    def __init__(self, *, cfg: Settings, rng: Random) -> None:
+        self.cfg = cfg
+        self.rng = rng
+        self.incarnation = int(time() * 1000)
+        self.member = f'{cfg.name}@{self.incarnation}'
+        self.draining = False
+        self.failure: BaseException | None = None
+        self.wake = Event()
+        self._services: dict[str, Service] = {}
+
+    def build(self) -> None:
+        """Construct every registered service."""
+        for name, cls in service_classes().items():
+            self._services[name] = cls(kernel=self)
+
+    def find(self, name: str) -> Any:
+        """Return the service of that name."""
+        return self._services[name]
+
+    async def start(self) -> None:
+        """Start the services in the order of their registration."""
+        for svc in self._services.values():
+            await svc.start()
+
+    async def drain(self) -> None:
+        """Refuse new work and finish what is in flight."""
+        self.draining = True
+        for svc in reversed(self._services.values()):
+            await svc.drain()
+
+    async def stop(self) -> None:
+        """Stop the services, the last started first."""
+        for svc in reversed(self._services.values()):
+            await svc.stop()
+
+    def broken(self, exc: BaseException) -> None:
+        """Stop the process, since an invariant does not hold."""
+        self.failure = exc
+        self.wake.set()
+
+    def now_s(self) -> float:
+        """Return the time of the monotonic clock."""
+        return monotonic()
+
+    def now_ms(self) -> int:
+        """Return Unix time in milliseconds."""
+        return int(time() * 1000)
--- /dev/null
+++ b/carawaylane/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages and outcomes."""
--- /dev/null
+++ b/carawaylane/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""Wire protocol between nodes."""
--- /dev/null
+++ b/carawaylane/services/admin.py
@@ -0,0 +1,139 @@
+"""Administration API of one node, for carawayctl and the balancer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from aiohttp import web
+from attrs import asdict
+
+from carawaylane.decisions.placement import shard_of_key
+from carawaylane.decisions.routing import request_labels
+from carawaylane.kernel.service import Service, service
+from carawaylane.messages.home import Describe
+
+if TYPE_CHECKING:
+    from carawaylane.kernel.kernel import Kernel
+
+
+@service('admin')
+class Admin(Service):
+    """Owns the socket of the administration API."""
+
+    def __init__(self, *, kernel: Kernel) -> None:
+        super().__init__(kernel=kernel)
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Open the socket."""
+        app = web.Application()
+        app.router.add_get('/live', self._live)
+        app.router.add_get('/ready', self._ready)
+        app.router.add_get('/metrics', self._metrics)
+        app.router.add_get('/status', self._status)
+        app.router.add_get('/explain', self._explain)
+        if self.kernel.cfg.test_faults:
+            app.router.add_post('/faults', self._faults)
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        host, _, port = self.kernel.cfg.admin.rpartition(':')
+        await web.TCPSite(self._runner, host, int(port)).start()
+
+    async def stop(self) -> None:
+        """Close the socket."""
+        await super().stop()
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _live(self, req: web.Request) -> web.Response:
+        return web.json_response({'live': True})
+
+    async def _ready(self, req: web.Request) -> web.Response:
+        ready = self.kernel.find('entry').ready()
+        return web.json_response(
+            {'ready': ready}, status=200 if ready else 503
+        )
+
+    async def _metrics(self, req: web.Request) -> web.Response:
+        metrics = self.kernel.find('telemetry').metrics
+        return web.Response(body=metrics.page(), content_type='text/plain')
+
+    async def _status(self, req: web.Request) -> web.Response:
+        relay = self.kernel.find('relay')
+        catalogue = self.kernel.find('catalogue')
+        membership = self.kernel.find('membership')
+        watcher = self.kernel.find('watcher')
+        cfg = self.kernel.cfg
+        return web.json_response(
+            {
+                'member': self.kernel.member,
+                'host': cfg.name,
+                'data_centre': cfg.data_centre,
+                'ready': self.kernel.find('entry').ready(),
+                'joined': watcher.joined,
+                'platform_reachable': watcher.reachable,
+                'config_seq': catalogue.in_force,
+                'fleet_seq': relay.seq('fleet'),
+                'members': sorted(relay.fleet.members),
+                'down': sorted(membership.down()),
+                'shards': await self._shards(),
+                'metrics': self.kernel.find('telemetry').metrics.rows(),
+            }
+        )
+
+    async def _shards(self) -> list[dict[str, Any]]:
+        homes = self.kernel.find('homes')
+        return [
+            asdict(await home.ask(Describe()))
+            for home in list(homes.shards.values())
+        ]
+
+    async def _explain(self, req: web.Request) -> web.Response:
+        query = req.query
+        labels = request_labels(
+            method=query.get('method', 'GET'),
+            path=query.get('path', '/'),
+            host=query.get('host', ''),
+            caller=query.get('caller', ''),
+            header=query.get('labels', ''),
+        )
+        catalogue = self.kernel.find('catalogue').state
+        kind = catalogue.routes.find(labels)
+        row: dict[str, Any] = {'labels': labels, 'kind': None}
+        if kind is not None:
+            row['kind'] = kind.name
+            row['safety'] = kind.safety
+            row['service'] = kind.service
+            row['shards'] = self._explain_shards(kind.service)
+            key = query.get('key', '')
+            if key:
+                spec = catalogue.services[kind.service]
+                row['shard_of_key'] = shard_of_key(spec, key)
+        return web.json_response(row)
+
+    def _explain_shards(self, service_name: str) -> list[dict[str, Any]]:
+        catalogue = self.kernel.find('catalogue').state
+        homes = self.kernel.find('homes')
+        forwarder = self.kernel.find('forwarder')
+        rows: list[dict[str, Any]] = []
+        for number in range(catalogue.services[service_name].shards):
+            shard = (service_name, number)
+            held = homes.holding(shard)
+            targets = catalogue.shard_targets(*shard)
+            rows.append(
+                {
+                    'shard': number,
+                    'owner': held.owner if held else '',
+                    'epoch': held.epoch if held else 0,
+                    'home': forwarder.home(shard, set()) or '',
+                    'targets': [each.name for each in targets],
+                }
+            )
+        return rows
+
+    async def _faults(self, req: web.Request) -> web.Response:
+        row = await req.json()
+        peers = self.kernel.find('peers')
+        peers.cut_to = set(row.get('cut_to', ()))
+        peers.cut_from = set(row.get('cut_from', ()))
+        return web.json_response({})
--- /dev/null
+++ b/carawaylane/services/homes.py
@@ -0,0 +1,375 @@
+"""Shards that this node is home of: claims, fences and handovers."""
+
+from __future__ import annotations
+
+from asyncio import Semaphore, gather, sleep
+from typing import TYPE_CHECKING
+
+from carawaylane.decisions.fleet import EPOCH_STEP, Holding, ShardId
+from carawaylane.decisions.journal import Fence, Promise
+from carawaylane.decisions.ledger import State
+from carawaylane.decisions.placement import claimant_of, heir_of
+from carawaylane.kernel.service import Actor, handles, service
+from carawaylane.messages.home import (
+    BeginTenure,
+    Configure,
+    FenceOwner,
+    Inherit,
+    Inheritance,
+    MemberGone,
+    Promised,
+    ReleaseTenure,
+    RetireTenure,
+)
+from carawaylane.messages.logs import FleetMoved
+from carawaylane.rpc.codec import (
+    pack_record,
+    unpack_promise,
+)
+from carawaylane.rpc.node_pb2 import (
+    Announcement,
+    FenceRequest,
+    HandoverRequest,
+)
+from carawaylane.services.catalogue import ServicesTouched
+from carawaylane.services.journal import AskPromise
+from carawaylane.services.shard import ShardHome
+from carawaylane.services.targets import TargetClient
+
+if TYPE_CHECKING:
+    from carawaylane.kernel.kernel import Kernel
+
+REVIEW_S = 0.2
+FENCE_TIMEOUT_S = 0.5
+FENCE_AGAIN_S = 0.5
+FENCE_PARALLEL = 64
+HAND_OVER_TIMEOUT_S = 5.0
+HAND_OVER_TRIES = 3
+DRAIN_POLL_S = 0.02
+
+
+@service('homes')
+class Homes(Actor):
+    """Owns the shard homes of this node and their connections."""
+
+    def __init__(self, *, kernel: Kernel) -> None:
+        super().__init__(kernel=kernel)
+        self.shards: dict[ShardId, ShardHome] = {}
+        self.hints: dict[ShardId, Holding] = {}
+        self._clients: dict[str, TargetClient] = {}
+        self._claiming = False
+
+    async def start(self) -> None:
+        """Follow the fleet and the configuration."""
+        await super().start()
+        self._relay = self.kernel.find('relay')
+        self._peers = self.kernel.find('peers')
+        self._membership = self.kernel.find('membership')
+        self._catalogue = self.kernel.find('catalogue')
+        self._relay.tell_fleet(self)
+        self._catalogue.tell(self)
+        self.spawn(self._review_loop())
+
+    async def drain(self) -> None:
+        """Hand every shard over, then finish what runs."""
+        owned = [
+            shard for shard, home in self.shards.items() if home.tenure.holds()
+        ]
+        await gather(*(self._hand_over(shard) for shard in owned))
+        while any(home.busy() for home in self.shards.values()):
+            await sleep(DRAIN_POLL_S)
+
+    async def stop(self) -> None:
+        """Stop the homes and close connections to targets."""
+        await super().stop()
+        for home in self.shards.values():
+            await home.stop()
+        for client in self._clients.values():
+            await client.close()
+
+    def holding(self, shard: ShardId) -> Holding | None:
+        """Return the newest owner known for a shard."""
+        held = self._relay.fleet.holdings.get(shard)
+        hint = self.hints.get(shard)
+        if held is None or (hint is not None and hint.epoch > held.epoch):
+            return hint
+        return held
+
+    def hint(self, shard: ShardId, owner: str, epoch: int) -> None:
+        """Remember an owner that the log does not show yet."""
+        known = self.holding(shard)
+        if owner and (known is None or epoch > known.epoch):
+            self.hints[shard] = Holding(owner=owner, epoch=epoch)
+
+    def client(self, address: str) -> TargetClient:
+        """Return the connections to a target."""
+        if address not in self._clients:
+            self._clients[address] = TargetClient(address=address)
+        return self._clients[address]
+
+    async def home(self, shard: ShardId) -> ShardHome | None:
+        """Return the home of a shard, made on first use."""
+        known = self.shards.get(shard)
+        if known is not None:
+            return known
+        spec = self._catalogue.state.services.get(shard[0])
+        if spec is None or shard[1] >= spec.shards:
+            return None
+        made = ShardHome(kernel=self.kernel, shard=shard)
+        self.shards[shard] = made
+        await made.start()
+        self._configure(made)
+        return made
+
+    async def fence(self, shard: ShardId, fence: Fence) -> Promise:
+        """Return this node's promise to a successor, as entry and owner."""
+        home = self.shards.get(shard)
+        owned = Promise(promised=True)
+        if home is not None and fence.successor != self.kernel.member:
+            owned = await home.ask(
+                FenceOwner(epoch=fence.epoch, successor=fence.successor)
+            )
+            if not owned.promised:
+                return owned
+        journal = self.kernel.find('journal')
+        mine = await journal.ask(AskPromise(shard=shard, fence=fence))
+        return Promise(
+            promised=mine.promised,
+            records=mine.records + owned.records,
+            vouched=mine.vouched,
+            known_epoch=max(mine.known_epoch, owned.known_epoch),
+        )
+
+    async def inherit(
+        self, shard: ShardId, source: str, epoch: int, left: Inheritance
+    ) -> bool:
+        """Take a shard over from an owner that stops."""
+        journal = self.kernel.find('journal')
+        if not journal.state.may_forward(shard, epoch, self.kernel.member):
+            return False
+        home = await self.home(shard)
+        if home is None or self.kernel.draining:
+            return False
+        done = await home.ask(Inherit(epoch=epoch, inheritance=left))
+        if done:
+            self.hint(shard, self.kernel.member, epoch)
+            self.spawn(self._record_handover(shard, epoch))
+        return done
+
+    @handles(ServicesTouched)
+    def _touched(self, msg: ServicesTouched) -> None:
+        for shard, home in self.shards.items():
+            if shard[0] in msg.names:
+                self._configure(home)
+
+    @handles(FleetMoved)
+    def _fleet_moved(self, msg: FleetMoved) -> None:
+        for shard, held in self._relay.fleet.holdings.items():
+            if held.owner == self.kernel.member:
+                self._maybe_begin(shard, held)
+            elif shard in self.shards:
+                self._follow_other(shard, held)
+        for home in self.shards.values():
+            self._drop_gone(home)
+            self._configure(home)
+
+    def _configure(self, home: ShardHome) -> None:
+        spec = self._catalogue.state.services.get(home.shard[0])
+        if spec is None:
+            return
+        targets = self._catalogue.state.shard_targets(*home.shard)
+        leaving = frozenset(self._relay.fleet.leaving_hosts)
+        home.post(
+            Configure(service=spec, targets=targets, leaving_hosts=leaving)
+        )
+
+    def _maybe_begin(self, shard: ShardId, held: Holding) -> None:
+        home = self.shards.get(shard)
+        if home is None or home.tenure.epoch < held.epoch:
+            self.spawn(self._begin(shard, held))
+
+    def _follow_other(self, shard: ShardId, held: Holding) -> None:
+        home = self.shards[shard]
+        if held.epoch > home.tenure.epoch:
+            home.post(RetireTenure(owner=held.owner, epoch=held.epoch))
+
+    def _drop_gone(self, home: ShardHome) -> None:
+        fleet = self._relay.fleet
+        window_ms = self.kernel.cfg.resend_window_ms
+        for member in list(home.tenure.waiting):
+            if member in fleet.members:
+                continue
+            loss = fleet.losses.get(member)
+            if loss is not None:
+                home.post(
+                    MemberGone(
+                        member=member, lost_until_ms=loss.at_ms + window_ms
+                    )
+                )
+
+    async def _begin(self, shard: ShardId, held: Holding) -> None:
+        home = await self.home(shard)
+        if home is None:
+            return
+        fleet = self._relay.fleet
+        window_ms = self.kernel.cfg.resend_window_ms
+        now_ms = self.kernel.now_ms()
+        lost_ms = fleet.losses_within(now_ms - window_ms, held.previous)
+        members = set(fleet.members) - {held.previous, self.kernel.member}
+        await home.ask(
+            BeginTenure(
+                epoch=held.epoch,
+                fresh=not held.previous,
+                former=held.previous,
+                members=frozenset(members),
+                unproven_until_ms=lost_ms + window_ms if lost_ms else 0,
+            )
+        )
+        await self._gather(home, held)
+
+    async def _gather(self, home: ShardHome, held: Holding) -> None:
+        fence = Fence(epoch=held.epoch, successor=self.kernel.member)
+        mine = await self.fence(home.shard, fence)
+        home.post(Promised(member=self.kernel.member, promise=mine))
+        former = {held.previous} if home.tenure.waiting else set()
+        while home.tenure.epoch == held.epoch and home.tenure.waiting:
+            asked = (home.tenure.waiting | former) & set(
+                self._relay.fleet.members
+            )
+            limit = Semaphore(FENCE_PARALLEL)
+            alive = {each.name for each in self._membership.alive()}
+            others = alive if home.tenure.waiting - alive else set()
+            await gather(
+                *(
+                    self._ask_promise(home, name, fence, limit)
+                    for name in asked | others
+                )
+            )
+            await sleep(0)
+            if home.tenure.waiting:
+                await sleep(FENCE_AGAIN_S)
+
+    async def _ask_promise(
+        self, home: ShardHome, member: str, fence: Fence, limit: Semaphore
+    ) -> None:
+        msg = FenceRequest(
+            service=home.shard[0],
+            shard=home.shard[1],
+            epoch=fence.epoch,
+            successor=fence.successor,
+        )
+        async with limit:
+            reply = await self._peers.call(
+                member, 'Fence', msg, FENCE_TIMEOUT_S
+            )
+        if reply is not None:
+            promise = unpack_promise(reply)
+            await home.ask(Promised(member=member, promise=promise))
+
+    async def _review_loop(self) -> None:
+        while True:
+            await sleep(REVIEW_S)
+            if not self.kernel.draining:
+                await self._claim_orphans()
+
+    async def _claim_orphans(self) -> None:
+        watcher = self.kernel.find('watcher')
+        if not watcher.joined:
+            return
+        down = self._membership.down()
+        fleet = self._relay.fleet
+        for name, spec in list(self._catalogue.state.services.items()):
+            for number in range(spec.shards):
+                shard = (name, number)
+                if self._hinted_alive(shard, down):
+                    continue
+                if claimant_of(fleet, shard, down) == self.kernel.member:
+                    await self._claim(shard)
+
+    def _hinted_alive(self, shard: ShardId, down: set[str]) -> bool:
+        held = self._relay.fleet.holdings.get(shard)
+        known = self.holding(shard)
+        if known is None or known is held:
+            return False
+        alive = {each.name for each in self._membership.alive()}
+        return known.owner in alive and known.owner not in down
+
+    async def _claim(self, shard: ShardId) -> bool:
+        held = self._relay.fleet.holdings.get(shard)
+        oper = {
+            'op': 'claim',
+            'service': shard[0],
+            'shard': shard[1],
+            'owner': self.kernel.member,
+            'expect_epoch': held.epoch if held else 0,
+        }
+        return await self.kernel.find('watcher').append('fleet', [oper])
+
+    async def _record_handover(self, shard: ShardId, epoch: int) -> None:
+        base = epoch - epoch % EPOCH_STEP
+        held = self._relay.fleet.holdings.get(shard)
+        recorded = False
+        if held is not None and held.epoch == base:
+            recorded = await self._claim(shard)
+        if recorded:
+            return
+        msg = Announcement(
+            service=shard[0],
+            shard=shard[1],
+            epoch=epoch,
+            owner=self.kernel.member,
+        )
+        await gather(
+            *(
+                self._peers.call(each.name, 'Announce', msg, FENCE_TIMEOUT_S)
+                for each in self._membership.alive()
+            )
+        )
+
+    async def _hand_over(self, shard: ShardId) -> None:
+        home = self.shards[shard]
+        down = self._membership.down()
+        heir = heir_of(self._relay.fleet, shard, self.kernel.member, down)
+        if heir is None:
+            return
+        epoch = home.tenure.epoch + 1
+        left = await home.ask(ReleaseTenure(heir=heir, epoch=epoch))
+        if left is None:
+            return
+        await self._send_over(shard, heir, epoch, left)
+        running = {
+            each.key for each in left.records if each.state is State.RUNNING
+        }
+        while running & _running(home):
+            await sleep(DRAIN_POLL_S)
+        if running:
+            records = home.tenure.ledger.records
+            done = tuple(records[key] for key in running if key in records)
+            left = Inheritance(
+                records=done, unproven_until_ms=left.unproven_until_ms
+            )
+            await self._send_over(shard, heir, epoch, left)
+
+    async def _send_over(
+        self, shard: ShardId, heir: str, epoch: int, left: Inheritance
+    ) -> bool:
+        msg = HandoverRequest(
+            service=shard[0],
+            shard=shard[1],
+            epoch=epoch,
+            source=self.kernel.member,
+            records=[pack_record(shard, each) for each in left.records],
+            unproven_until_ms=left.unproven_until_ms,
+        )
+        for _ in range(HAND_OVER_TRIES):
+            reply = await self._peers.call(
+                heir, 'Handover', msg, HAND_OVER_TIMEOUT_S
+            )
+            if reply is not None:
+                return reply.accepted
+        return False
+
+
+def _running(home: ShardHome) -> set[str]:
+    records = home.tenure.ledger.records.values()
+    return {each.key for each in records if each.state is State.RUNNING}
--- /dev/null
+++ b/carawaylane/services/journal.py
@@ -0,0 +1,136 @@
+"""The entry's journal of forwarded keys, and its promises."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+
+from carawaylane.decisions.fleet import ShardId
+from carawaylane.decisions.journal import Fence, Promise
+from carawaylane.decisions.journal import Journal as JournalState
+from carawaylane.decisions.ledger import Record
+from carawaylane.kernel.service import Actor, handles, service
+from carawaylane.messages.outcomes import (
+    Answered,
+    Moved,
+    NotRun,
+    Outcome,
+)
+from carawaylane.rpc.codec import pack_record
+from carawaylane.rpc.node_pb2 import JournalRequest
+
+if TYPE_CHECKING:
+    from carawaylane.kernel.kernel import Kernel
+
+HAND_OVER_TIMEOUT_S = 5.0
+HAND_OVER_TRIES = 5
+
+
+@frozen(kw_only=True)
+class Note:
+    """Record a key before forwarding it; the reply says if it may go."""
+
+    shard: ShardId
+    epoch: int
+    owner: str
+    key: str
+
+
+@frozen(kw_only=True)
+class Concluded:
+    """A forwarded attempt ended; `kept` is False without its answer."""
+
+    shard: ShardId
+    key: str
+    outcome: Outcome
+    kept: bool = True
+
+
+@frozen(kw_only=True)
+class AskPromise:
+    """A successor asks for a promise."""
+
+    shard: ShardId
+    fence: Fence
+
+
+@frozen(kw_only=True)
+class Keep:
+    """A stopping member leaves its journal with this node."""
+
+    source: str
+    records: tuple[tuple[ShardId, Record], ...]
+    vouched: tuple[str, ...]
+
+
+@service('journal')
+class Journal(Actor):
+    """Owns the journal."""
+
+    def __init__(self, *, kernel: Kernel) -> None:
+        super().__init__(kernel=kernel)
+        cfg = kernel.cfg
+        self.state = JournalState(
+            window_ms=cfg.resend_window_ms,
+            max_records=cfg.journal_records,
+            max_answer_bytes=cfg.journal_answer_bytes,
+        )
+        self._closed = False
+
+    async def drain(self) -> None:
+        """Leave the journal with a live member."""
+        self._closed = True
+        peers = self.kernel.find('peers')
+        self.state.expire(self.kernel.now_ms())
+        msg = JournalRequest(
+            source=self.kernel.member,
+            records=[
+                pack_record(shard, record)
+                for (shard, _), record in self.state.records.items()
+            ],
+            vouched=sorted(self.state.vouched),
+        )
+        for _ in range(HAND_OVER_TRIES):
+            alive = self.kernel.find('membership').alive()
+            if not alive:
+                return
+            heir = self.kernel.rng.choice(alive).name
+            reply = await peers.call(
+                heir, 'KeepJournal', msg, HAND_OVER_TIMEOUT_S
+            )
+            if reply is not None and reply.accepted:
+                return
+
+    @handles(Note)
+    def _note(self, msg: Note) -> bool:
+        if self._closed:
+            return False
+        if not self.state.may_forward(msg.shard, msg.epoch, msg.owner):
+            return False
+        return self.state.note(msg.shard, msg.key, self.kernel.now_ms())
+
+    @handles(Concluded)
+    def _concluded(self, msg: Concluded) -> None:
+        now_ms = self.kernel.now_ms()
+        match msg.outcome:
+            case Answered():
+                answer = msg.outcome if msg.kept else None
+                self.state.answered(msg.shard, msg.key, answer, now_ms)
+            case Moved():
+                self.state.withdraw(msg.shard, msg.key)
+            case NotRun():
+                self.state.refused(msg.shard, msg.key, now_ms)
+            case _:
+                self.state.lost(msg.shard, msg.key)
+
+    @handles(AskPromise)
+    def _promise(self, msg: AskPromise) -> Promise:
+        return self.state.promise(msg.shard, msg.fence, self.kernel.now_ms())
+
+    @handles(Keep)
+    def _keep(self, msg: Keep) -> bool:
+        if self._closed:
+            return False
+        self.state.keep(list(msg.records), [msg.source, *msg.vouched])
+        return True
--- /dev/null
+++ b/carawaylane/services/membership.py
@@ -0,0 +1,139 @@
+"""Pings between members and the view that follows from them."""
+
+from __future__ import annotations
+
+from asyncio import gather, sleep
+from typing import TYPE_CHECKING
+
+from carawaylane.decisions.membership import (
+    Membership as MembershipView,
+)
+from carawaylane.decisions.membership import Reach, Rumour
+from carawaylane.kernel.service import Actor, handles, service
+from carawaylane.messages.logs import FleetMoved
+from carawaylane.rpc.node_pb2 import PingReply, PingRequest
+from carawaylane.rpc.node_pb2 import Rumour as RumourPb
+from carawaylane.telemetry.events import MEMBER_DOWN, emit
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from carawaylane.decisions.fleet import Member
+    from carawaylane.kernel.kernel import Kernel
+
+HELPERS = 2
+
+
+@service('membership')
+class Membership(Actor):
+    """Owns the view of which members are reachable."""
+
+    def __init__(self, *, kernel: Kernel) -> None:
+        super().__init__(kernel=kernel)
+        self.view = MembershipView(own=kernel.member, rng=kernel.rng)
+
+    async def start(self) -> None:
+        """Start pinging."""
+        await super().start()
+        self._relay = self.kernel.find('relay')
+        self._peers = self.kernel.find('peers')
+        self._relay.tell_fleet(self)
+        self.spawn(self._ping_loop())
+
+    def alive(self) -> list[Member]:
+        """Return other members that are not believed down."""
+        down = self.view.down()
+        return [
+            each
+            for each in self._relay.fleet.members.values()
+            if each.name != self.kernel.member and each.name not in down
+        ]
+
+    def down(self) -> set[str]:
+        """Return members that are believed down."""
+        return self.view.down()
+
+    def pinged(self, msg: PingRequest) -> None:
+        """Take in what a peer tells with its ping."""
+        self._take(msg.source, msg.rumours, msg.config_seq, msg.fleet_seq)
+
+    def reply(self, alive: bool) -> PingReply:
+        """Return this node's reply to a ping."""
+        return PingReply(
+            alive=alive,
+            rumours=self._rumours(),
+            config_seq=self._relay.seq('config'),
+            fleet_seq=self._relay.seq('fleet'),
+        )
+
+    async def ping(self, member: str, *, target: str = '') -> bool:
+        """Return whether a member answers, or reaches `target`."""
+        msg = PingRequest(
+            source=self.kernel.member,
+            target=target or member,
+            rumours=self._rumours(),
+            config_seq=self._relay.seq('config'),
+            fleet_seq=self._relay.seq('fleet'),
+            indirect=bool(target),
+        )
+        timeout_s = self.kernel.cfg.ping_timeout_ms / 1000
+        factor = 2 if target else 1
+        reply = await self._peers.call(member, 'Ping', msg, timeout_s * factor)
+        if reply is None:
+            return False
+        self._take(member, reply.rumours, reply.config_seq, reply.fleet_seq)
+        return reply.alive
+
+    @handles(FleetMoved)
+    def _fleet_moved(self, msg: FleetMoved) -> None:
+        self.view.set_members(self._relay.fleet.members)
+
+    async def _ping_loop(self) -> None:
+        period_s = self.kernel.cfg.ping_period_ms / 1000
+        while True:
+            member = self.view.next_ping()
+            if member is not None:
+                self.spawn(self._check(member))
+            for name in self.view.tick(self.kernel.now_s()):
+                emit(MEMBER_DOWN, member=name)
+            await sleep(period_s)
+
+    async def _check(self, member: str) -> None:
+        if await self.ping(member):
+            self.view.heard(member, self.kernel.now_s())
+            return
+        self._peers.reset(member)
+        helpers = self.view.helpers(member, HELPERS)
+        found = await gather(
+            self.ping(member),
+            *(self.ping(name, target=member) for name in helpers),
+        )
+        if any(found):
+            self.view.heard(member, self.kernel.now_s())
+        else:
+            self.view.missed(member, self.kernel.now_s())
+
+    def _take(
+        self,
+        member: str,
+        rumours: Iterable[RumourPb],
+        config_seq: int,
+        fleet_seq: int,
+    ) -> None:
+        told = [
+            Rumour(
+                member=each.member, reach=Reach(each.state), round=each.round
+            )
+            for each in rumours
+        ]
+        self.view.hear_rumours(told, self.kernel.now_s())
+        self._relay.peer_at(member, 'config', config_seq)
+        self._relay.peer_at(member, 'fleet', fleet_seq)
+
+    def _rumours(self) -> list[RumourPb]:
+        return [
+            RumourPb(
+                member=each.member, state=int(each.reach), round=each.round
+            )
+            for each in self.view.rumours()
+        ]
--- /dev/null
+++ b/carawaylane/services/node_rpc.py
@@ -0,0 +1,185 @@
+"""The node's side of calls from other nodes."""
+
+from __future__ import annotations
+
+from asyncio import sleep, timeout
+from typing import TYPE_CHECKING, Any
+
+from grpclib.server import Server
+
+from carawaylane.decisions.journal import Fence
+from carawaylane.kernel.service import Service, service
+from carawaylane.messages.home import Inheritance
+from carawaylane.messages.logs import Learn, Since
+from carawaylane.rpc.codec import (
+    pack_piece,
+    pack_promise,
+    unpack_record,
+    unpack_request,
+)
+from carawaylane.rpc.node_grpc import NodeBase
+from carawaylane.rpc.node_pb2 import Accepted, Empty, ForwardRequest
+from carawaylane.services.journal import Keep
+from carawaylane.services.peers import SOURCE_KEY
+from carawaylane.services.relay import pack_batch, unpack_batch
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from carawaylane.kernel.kernel import Kernel
+    from carawaylane.messages.exchange import Piece
+
+STOP_TIMEOUT_S = 1.0
+
+
+class Endpoint(NodeBase):
+    """Maps calls to the services of this node."""
+
+    def __init__(self, *, kernel: Kernel) -> None:
+        self._kernel = kernel
+        self._peers = kernel.find('peers')
+        self.open_forwards = 0
+
+    async def Forward(self, stream: Any) -> None:  # noqa: N802
+        """Run a request here, or journal it and pass it on."""
+        source, msg = await self._receive(stream)
+        self.open_forwards += 1
+        try:
+            async for piece in self._pieces(msg):
+                await self._pass_cut(source)
+                await stream.send_message(
+                    pack_piece(piece, self._free_slots(msg))
+                )
+        finally:
+            self.open_forwards -= 1
+
+    async def Ping(self, stream: Any) -> None:  # noqa: N802
+        """Answer a ping, or ping another member for the caller."""
+        _, msg = await self._receive(stream)
+        membership = self._kernel.find('membership')
+        membership.pinged(msg)
+        alive = True
+        if msg.indirect:
+            alive = await membership.ping(msg.target)
+        await self._send(stream, membership.reply(alive))
+
+    async def Pull(self, stream: Any) -> None:  # noqa: N802
+        """Return what the caller lacks of a log."""
+        _, msg = await self._receive(stream)
+        relay = self._kernel.find('relay')
+        batch = await relay.ask(Since(log=msg.log, after=msg.after))
+        await self._send(stream, pack_batch(batch))
+
+    async def Push(self, stream: Any) -> None:  # noqa: N802
+        """Take in changes of a log."""
+        source, msg = await self._receive(stream)
+        relay = self._kernel.find('relay')
+        batch = unpack_batch(msg)
+        await relay.ask(Learn(batch=batch))
+        newest = max((each.seq for each in batch.changes), default=0)
+        relay.peer_at(source, msg.log, newest)
+        await self._send(stream, Empty())
+
+    async def Fence(self, stream: Any) -> None:  # noqa: N802
+        """Promise a successor to forward nothing older."""
+        _, msg = await self._receive(stream)
+        shard = (msg.service, msg.shard)
+        fence = Fence(epoch=msg.epoch, successor=msg.successor)
+        promise = await self._kernel.find('homes').fence(shard, fence)
+        await self._send(stream, pack_promise(shard, promise))
+
+    async def Handover(self, stream: Any) -> None:  # noqa: N802
+        """Take a shard over from an owner that stops."""
+        _, msg = await self._receive(stream)
+        left = Inheritance(
+            records=tuple(unpack_record(each)[1] for each in msg.records),
+            unproven_until_ms=msg.unproven_until_ms,
+        )
+        shard = (msg.service, msg.shard)
+        homes = self._kernel.find('homes')
+        done = await homes.inherit(shard, msg.source, msg.epoch, left)
+        await self._send(stream, Accepted(accepted=done))
+
+    async def KeepJournal(self, stream: Any) -> None:  # noqa: N802
+        """Keep the journal of a member that stops."""
+        _, msg = await self._receive(stream)
+        keep = Keep(
+            source=msg.source,
+            records=tuple(unpack_record(each) for each in msg.records),
+            vouched=tuple(msg.vouched),
+        )
+        done = await self._kernel.find('journal').ask(keep)
+        await self._send(stream, Accepted(accepted=done))
+
+    async def Announce(self, stream: Any) -> None:  # noqa: N802
+        """Learn of an owner that the log does not show yet."""
+        _, msg = await self._receive(stream)
+        homes = self._kernel.find('homes')
+        homes.hint((msg.service, msg.shard), msg.owner, msg.epoch)
+        await self._send(stream, Empty())
+
+    async def Suspect(self, stream: Any) -> None:  # noqa: N802
+        """Learn of a request under which a target died."""
+        _, msg = await self._receive(stream)
+        runner = self._kernel.find('runner')
+        runner.suspect(msg.digest, msg.target, msg.unsafe)
+        await self._send(stream, Empty())
+
+    async def _receive(self, stream: Any) -> tuple[str, Any]:
+        source = stream.metadata.get(SOURCE_KEY, '')
+        if self._peers.is_cut_from(source):
+            await sleep(3600)
+        return source, await stream.recv_message()
+
+    async def _send(self, stream: Any, msg: Any) -> None:
+        await self._pass_cut(stream.metadata.get(SOURCE_KEY, ''))
+        await stream.send_message(msg)
+
+    async def _pass_cut(self, source: str) -> None:
+        if self._peers.is_cut_to(source):
+            await sleep(3600)
+
+    def _pieces(self, msg: ForwardRequest) -> AsyncIterator[Piece]:
+        req = unpack_request(msg)
+        if msg.hop == ForwardRequest.VIA_WITNESS:
+            return self._kernel.find('forwarder').forward_keyed(req)
+        return self._kernel.find('runner').run(req)
+
+    def _free_slots(self, msg: ForwardRequest) -> int:
+        homes = self._kernel.find('homes')
+        home = homes.shards.get((msg.service, msg.shard))
+        return home.free_slots() if home is not None else 0
+
+
+@service('node_rpc')
+class NodeRpc(Service):
+    """Owns the socket that other nodes connect to."""
+
+    def __init__(self, *, kernel: Kernel) -> None:
+        super().__init__(kernel=kernel)
+        self._server: Server | None = None
+        self._endpoint: Endpoint | None = None
+
+    async def start(self) -> None:
+        """Open the socket."""
+        self._endpoint = Endpoint(kernel=self.kernel)
+        self._server = Server([self._endpoint])
+        host, _, port = self.kernel.cfg.rpc.rpartition(':')
+        await self._server.start(host, int(port))
+
+    async def drain(self) -> None:
+        """Wait for forwards under way."""
+        while self._endpoint is not None and self._endpoint.open_forwards:
+            await sleep(0.02)
+
+    async def stop(self) -> None:
+        """Close the socket."""
+        await super().stop()
+        if self._server is None:
+            return
+        self._server.close()
+        try:
+            async with timeout(STOP_TIMEOUT_S):
+                await self._server.wait_closed()
+        except TimeoutError:
+            return
--- /dev/null
+++ b/carawaylane/services/peers.py
@@ -0,0 +1,176 @@
+"""Connections to the other nodes."""
+
+from __future__ import annotations
+
+from asyncio import TimeoutError as AsyncTimeoutError
+from asyncio import sleep, timeout
+from contextlib import aclosing
+from typing import TYPE_CHECKING, Any
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from carawaylane.kernel.service import Service, service
+from carawaylane.messages.exchange import Piece, Request
+from carawaylane.messages.outcomes import Failed, Unknown
+from carawaylane.rpc.codec import pack_request, unpack_piece
+from carawaylane.rpc.node_grpc import NodeStub
+from carawaylane.telemetry.events import RPC_FAILED, emit
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from google.protobuf.message import Message
+
+    from carawaylane.kernel.kernel import Kernel
+
+SOURCE_KEY = 'source'
+NODE_LOST = 'a node was lost'
+CONNECT_TIMEOUT_S = 0.5
+# Time beyond the deadline that a home gets to say how a request ended.
+GRACE_S = 0.25
+RPC_ERRORS = (
+    OSError,
+    GRPCError,
+    StreamTerminatedError,
+    AsyncTimeoutError,
+    ValueError,
+)
+
+
+class NeverSentError(Exception):
+    """The call did not leave this node."""
+
+
+@service('peers')
+class Peers(Service):
+    """Owns one connection to each peer that it talks to."""
+
+    def __init__(self, *, kernel: Kernel) -> None:
+        super().__init__(kernel=kernel)
+        self._channels: dict[str, Channel] = {}
+        self.cut_to: set[str] = set()
+        self.cut_from: set[str] = set()
+
+    async def stop(self) -> None:
+        """Close the connections."""
+        await super().stop()
+        for channel in self._channels.values():
+            channel.close()
+        self._channels.clear()
+
+    def address_of(self, member: str) -> str:
+        """Return the rpc address of a member, or an address as it is."""
+        fleet = self.kernel.find('relay').fleet
+        known = fleet.members.get(member)
+        if known is not None:
+            return known.rpc
+        return member if ':' in member else ''
+
+    def is_cut_to(self, member: str) -> bool:
+        """Return whether a test cut the way to a member."""
+        return _host(member) in self.cut_to
+
+    def is_cut_from(self, member: str) -> bool:
+        """Return whether a test cut the way from a member."""
+        return _host(member) in self.cut_from
+
+    def reset(self, member: str) -> None:
+        """Give up a connection that may have gone silent."""
+        channel = self._channels.pop(self.address_of(member), None)
+        if channel is not None:
+            channel.close()
+
+    async def call(
+        self, member: str, method: str, msg: Message, timeout_s: float
+    ) -> Any:
+        """Return the reply of a member, or None if there is none."""
+        try:
+            async with timeout(timeout_s):
+                await self._pass_cut(member)
+                channel = await self._channel(member)
+                stub = NodeStub(channel)
+                return await getattr(stub, method)(
+                    msg, timeout=timeout_s, metadata=self._metadata()
+                )
+        except (*RPC_ERRORS, NeverSentError) as exc:
+            emit(
+                RPC_FAILED,
+                member=member,
+                method=method,
+                error=type(exc).__name__,
+            )
+            return None
+
+    async def forward(
+        self, member: str, req: Request, hop: int
+    ) -> AsyncIterator[Piece]:
+        """Yield the pieces of an answer from a member.
+
+        Raises NeverSentError if the request did not leave this node.
+        """
+        channel = await self._open(member)
+        left_s = (req.deadline_ms - self.kernel.now_ms()) / 1000 + GRACE_S
+        lost = _lost(req)
+        ended = False
+        try:
+            async with timeout(max(0.01, left_s)):
+                await self._pass_cut(member)
+                async with aclosing(self._pieces(channel, req, hop)) as pieces:
+                    async for piece in pieces:
+                        ended = piece.end is not None
+                        yield piece
+        except RPC_ERRORS as exc:
+            emit(
+                RPC_FAILED,
+                member=member,
+                method='Forward',
+                error=type(exc).__name__,
+            )
+        if not ended:
+            yield Piece(end=lost)
+
+    async def _pieces(
+        self, channel: Channel, req: Request, hop: int
+    ) -> AsyncIterator[Piece]:
+        stub = NodeStub(channel)
+        async with stub.Forward.open(metadata=self._metadata()) as stream:
+            await stream.send_message(pack_request(req, hop), end=True)
+            async for chunk in stream:
+                yield unpack_piece(chunk)
+
+    async def _open(self, member: str) -> Channel:
+        try:
+            async with timeout(CONNECT_TIMEOUT_S):
+                return await self._channel(member)
+        except (TimeoutError, OSError) as exc:
+            raise NeverSentError(member) from exc
+
+    async def _channel(self, member: str) -> Channel:
+        address = self.address_of(member)
+        if not address:
+            raise NeverSentError(member)
+        channel = self._channels.get(address)
+        if channel is None:
+            host, _, port = address.rpartition(':')
+            channel = Channel(host, int(port))
+            self._channels[address] = channel
+        await channel.__connect__()
+        return channel
+
+    async def _pass_cut(self, member: str) -> None:
+        if self.is_cut_to(member):
+            await sleep(3600)
+
+    def _metadata(self) -> dict[str, str]:
+        return {SOURCE_KEY: self.kernel.member}
+
+
+def _lost(req: Request) -> Unknown | Failed:
+    if req.key:
+        return Unknown(reason=NODE_LOST, retry_after_ms=1000)
+    return Failed(reason=NODE_LOST)
+
+
+def _host(member: str) -> str:
+    return member.partition('@')[0]
--- /dev/null
+++ b/carawaylane/services/shard.py
@@ -0,0 +1,436 @@
+"""The home of one shard: its slots, its targets' health, its keys."""
+
+from __future__ import annotations
+
+from asyncio import Future, get_running_loop, sleep
+from typing import TYPE_CHECKING, Any
+
+from carawaylane.decisions.health import Moved as StandingMoved
+from carawaylane.decisions.health import Outcome as WorkOutcome
+from carawaylane.decisions.health import ShardHealth
+from carawaylane.decisions.journal import Promise
+from carawaylane.decisions.ledger import Ledger, State
+from carawaylane.decisions.slots import Granted, Queued, SlotPool
+from carawaylane.decisions.tenure import NotYet, Tenure
+from carawaylane.kernel.service import Actor, handles
+from carawaylane.messages.home import (
+    Acquire,
+    AdmitKey,
+    AwaitKey,
+    BeginTenure,
+    CancelDemand,
+    Configure,
+    CrashedBy,
+    Describe,
+    FenceOwner,
+    Inherit,
+    Inheritance,
+    MemberGone,
+    Observed,
+    Promised,
+    Release,
+    ReleaseTenure,
+    RetireTenure,
+    SaidLeaving,
+    SettleKey,
+    ShardRow,
+    TargetRow,
+    Tick,
+)
+from carawaylane.messages.outcomes import Answered, NotRun, Unknown
+from carawaylane.telemetry.events import (
+    SHARD_CLAIMED,
+    SHARD_LOST,
+    SHARD_PROVEN,
+    SHARD_RELEASED,
+    TARGET_STANDING,
+    emit,
+)
+
+if TYPE_CHECKING:
+    from carawaylane.config.schema import Service, Target
+    from carawaylane.decisions.fleet import ShardId
+    from carawaylane.decisions.ledger import Verdict
+    from carawaylane.kernel.kernel import Kernel
+    from carawaylane.messages.outcomes import Moved, Outcome
+
+TICK_S = 0.05
+
+
+class _Work:
+    """A slot that is taken."""
+
+    def __init__(self, *, target: str, kind: str, since_s: float) -> None:
+        self.target = target
+        self.kind = kind
+        self.since_s = since_s
+        self.overdue = False
+
+
+class ShardHome(Actor):
+    """Task that owns everything about one shard on its home."""
+
+    def __init__(self, *, kernel: Kernel, shard: ShardId) -> None:
+        super().__init__(kernel=kernel)
+        cfg = kernel.cfg
+        self.shard = shard
+        self.name = f'shard {shard[0]}/{shard[1]}'
+        self.service: Service | None = None
+        self.targets: dict[str, Target] = {}
+        self.pool = SlotPool()
+        self.health: ShardHealth | None = None
+        self.tenure = Tenure(
+            node=kernel.member,
+            shard=shard,
+            ledger=Ledger(
+                window_ms=cfg.resend_window_ms, max_bytes=cfg.ledger_bytes
+            ),
+        )
+        self._said_leaving: set[str] = set()
+        self._grants: dict[int, Future[Any]] = {}
+        self._work_now: dict[int, _Work] = {}
+        self._admissions: list[tuple[AdmitKey, Future[Any]]] = []
+        self._key_waiters: dict[str, list[Future[Outcome]]] = {}
+        self._was_proven = True
+
+    async def start(self) -> None:
+        """Start working and ticking."""
+        await super().start()
+        self.spawn(self._tick_loop())
+
+    def free_slots(self) -> int:
+        """Return the slots that a new request could take."""
+        return self.pool.free()
+
+    def running_keys(self) -> int:
+        """Return how many keyed requests run here."""
+        records = self.tenure.ledger.records.values()
+        return sum(each.state is State.RUNNING for each in records)
+
+    def busy(self) -> int:
+        """Return how many slots are taken and demands wait."""
+        return len(self._work_now) + len(self._grants)
+
+    async def _tick_loop(self) -> None:
+        while True:
+            await sleep(TICK_S)
+            self.post(Tick())
+
+    @handles(Configure)
+    def _configure(self, msg: Configure) -> None:
+        spec = msg.service
+        slots = {each.name: each.slots or spec.slots for each in msg.targets}
+        if self.health is None or self.health.detector_name != spec.detector:
+            self.health = ShardHealth(
+                floor_percent=spec.floor_percent,
+                weights=spec.weights,
+                detector_name=spec.detector,
+            )
+        self.health.floor_percent = spec.floor_percent
+        self.health.weights = spec.weights
+        self.service = spec
+        self.targets = {each.name: each for each in msg.targets}
+        self.pool.configure(slots)
+        self.health.configure(slots)
+        self._said_leaving &= set(slots)
+        now_s = self.kernel.now_s()
+        moved: list[StandingMoved] = []
+        for each in msg.targets:
+            leaving = each.host in msg.leaving_hosts
+            leaving = leaving or each.name in self._said_leaving
+            moved += self.health.label(each.name, each.state, leaving, now_s)
+        self._follow(moved)
+
+    @handles(Acquire)
+    def _acquire(self, msg: Acquire) -> Any:
+        grant = self.pool.acquire(msg.demand, self.kernel.now_s())
+        if isinstance(grant, Granted):
+            self._took(msg.demand.ticket, grant.target, msg.demand.kind)
+            return grant
+        if not isinstance(grant, Queued):
+            return grant
+        fut: Future[Any] = get_running_loop().create_future()
+        self._grants[msg.demand.ticket] = fut
+        return fut
+
+    @handles(CancelDemand)
+    def _cancel_demand(self, msg: CancelDemand) -> None:
+        self._grants.pop(msg.ticket, None)
+        if self.pool.cancel(msg.ticket):
+            return
+        work = self._work_now.pop(msg.ticket, None)
+        if work is not None:
+            self.pool.release(work.target, None)
+            self._serve_queue()
+
+    @handles(Release)
+    def _release(self, msg: Release) -> None:
+        work = self._work_now.pop(msg.ticket, None)
+        if work is None:
+            return
+        self.pool.release(msg.target, msg.busy_s)
+        if msg.outcome is not None and not work.overdue:
+            self._observe(msg.outcome)
+        self._serve_queue()
+
+    @handles(CrashedBy)
+    def _crashed(self, msg: CrashedBy) -> None:
+        if self.health is not None:
+            moved = self.health.crashed(msg.target, self.kernel.now_s())
+            self._follow(moved)
+
+    @handles(Observed)
+    def _observed(self, msg: Observed) -> None:
+        self._observe(msg.outcome)
+
+    @handles(SaidLeaving)
+    def _leaving(self, msg: SaidLeaving) -> None:
+        known = self.targets.get(msg.target)
+        if known is None or self.health is None:
+            return
+        self._said_leaving.add(msg.target)
+        now_s = self.kernel.now_s()
+        self._follow(self.health.label(msg.target, known.state, True, now_s))
+
+    @handles(Tick)
+    def _tick(self, msg: Tick) -> None:
+        now_s = self.kernel.now_s()
+        if self.health is None:
+            return
+        for work in self._work_now.values():
+            age_s = now_s - work.since_s
+            if work.overdue or not self.health.overdue(
+                work.target, work.kind, age_s
+            ):
+                continue
+            work.overdue = True
+            self._observe(
+                WorkOutcome(
+                    target=work.target,
+                    kind=work.kind,
+                    failed=False,
+                    latency_s=age_s,
+                )
+            )
+        self._follow(self.health.review(now_s))
+        self._serve_queue()
+        self._retry_admissions()
+
+    @handles(AdmitKey)
+    def _admit(self, msg: AdmitKey) -> Any:
+        verdict = self._decide(msg)
+        if not isinstance(verdict, NotYet):
+            return verdict
+        fut: Future[Any] = get_running_loop().create_future()
+        self._admissions.append((msg, fut))
+        return fut
+
+    @handles(AwaitKey)
+    def _await_key(self, msg: AwaitKey) -> Future[Outcome]:
+        fut: Future[Outcome] = get_running_loop().create_future()
+        record = self.tenure.ledger.records.get(msg.key)
+        if record is None or record.state is not State.RUNNING:
+            fut.set_result(_outcome_of(record))
+        else:
+            self._key_waiters.setdefault(msg.key, []).append(fut)
+        return fut
+
+    @handles(SettleKey)
+    def _settle(self, msg: SettleKey) -> None:
+        ledger = self.tenure.ledger
+        now_ms = self.kernel.now_ms()
+        match msg.outcome:
+            case Answered():
+                answer = msg.outcome if msg.kept else None
+                ledger.answered(msg.key, answer, now_ms)
+            case NotRun():
+                ledger.refuse(msg.key, now_ms)
+            case _:
+                ledger.doubt(msg.key, now_ms)
+        self._wake_key(msg.key, msg.outcome)
+
+    @handles(BeginTenure)
+    def _begin(self, msg: BeginTenure) -> None:
+        if msg.epoch <= self.tenure.epoch:
+            return
+        self.tenure.begin(
+            epoch=msg.epoch,
+            fresh=msg.fresh,
+            members=set(msg.members),
+            unproven_until_ms=msg.unproven_until_ms,
+            gather_until_ms=self.kernel.now_ms() + self.kernel.cfg.gather_ms,
+            former=msg.former,
+        )
+        emit(SHARD_CLAIMED, shard=self.name, epoch=msg.epoch, fresh=msg.fresh)
+        self._was_proven = False
+
+    @handles(RetireTenure)
+    def _retire(self, msg: RetireTenure) -> None:
+        held = self.tenure.holds()
+        self.tenure.retire(owner=msg.owner, epoch=msg.epoch)
+        if held and not self.tenure.holds():
+            emit(SHARD_LOST, shard=self.name, owner=msg.owner)
+        self._retry_admissions()
+
+    @handles(Promised)
+    def _promised(self, msg: Promised) -> None:
+        self.tenure.promised(msg.member, msg.promise)
+        self._retry_admissions()
+
+    @handles(MemberGone)
+    def _member_gone(self, msg: MemberGone) -> None:
+        self.tenure.gone(msg.member, msg.lost_until_ms)
+        self._retry_admissions()
+
+    @handles(FenceOwner)
+    def _fence(self, msg: FenceOwner) -> Promise:
+        tenure = self.tenure
+        if tenure.active and msg.epoch <= tenure.epoch:
+            return Promise(promised=False, known_epoch=tenure.epoch)
+        known = max(tenure.epoch, tenure.heir_epoch)
+        tenure.retire(owner=msg.successor, epoch=msg.epoch)
+        return Promise(
+            promised=True,
+            records=tuple(tenure.ledger.records.values()),
+            known_epoch=known,
+        )
+
+    @handles(ReleaseTenure)
+    def _release_tenure(self, msg: ReleaseTenure) -> Inheritance | None:
+        tenure = self.tenure
+        if not tenure.holds() or tenure.waiting:
+            return None
+        tenure.release(heir=msg.heir, epoch=msg.epoch)
+        emit(SHARD_RELEASED, shard=self.name, heir=msg.heir)
+        self._retry_admissions()
+        return self._inheritance()
+
+    @handles(Inherit)
+    def _inherit(self, msg: Inherit) -> bool:
+        tenure = self.tenure
+        if tenure.holds() and msg.epoch == tenure.epoch:
+            self._settle_inherited(msg)
+            return True
+        return tenure.inherit(
+            epoch=msg.epoch,
+            records=list(msg.inheritance.records),
+            unproven_until_ms=msg.inheritance.unproven_until_ms,
+        )
+
+    @handles(Describe)
+    def _describe(self, msg: Describe) -> ShardRow:
+        tenure = self.tenure
+        health = self.health
+        return ShardRow(
+            shard=self.shard,
+            epoch=tenure.epoch,
+            owned=tenure.holds(),
+            proven=tenure.proven(self.kernel.now_ms()),
+            keys=len(tenure.ledger.records),
+            free_slots=self.pool.free(),
+            waiting=self.pool.waiting(),
+            floor_slots=health.floor_slots() if health else 0,
+            targets=self._target_rows(),
+        )
+
+    def _inheritance(self) -> Inheritance:
+        return Inheritance(
+            records=tuple(self.tenure.ledger.records.values()),
+            unproven_until_ms=self.tenure.unproven_until_ms,
+        )
+
+    def _settle_inherited(self, msg: Inherit) -> None:
+        self.tenure.ledger.adopt(msg.inheritance.records, still_running=True)
+        for record in msg.inheritance.records:
+            if record.state is not State.RUNNING:
+                self._wake_key(record.key, _outcome_of(record))
+
+    def _target_rows(self) -> list[TargetRow]:
+        rows: list[TargetRow] = []
+        for name in self.targets:
+            slots = self.pool.targets.get(name)
+            known = self.health.targets.get(name) if self.health else None
+            if slots is None or known is None:
+                continue
+            rows.append(
+                TargetRow(
+                    target=name,
+                    service=self.shard[0],
+                    shard=self.shard[1],
+                    standing=known.standing.value,
+                    reason=f'evidence {known.detector.score():.2f} of 1',
+                    slots=known.slots,
+                    limit=known.limit if known.takes_work else 0,
+                    busy=slots.busy,
+                )
+            )
+        return rows
+
+    def _decide(self, msg: AdmitKey) -> Verdict | Moved | NotYet:
+        req = msg.req
+        return self.tenure.admit(
+            key=req.key,
+            epoch=req.epoch,
+            entry=req.entry,
+            accepted_ms=req.accepted_ms,
+            now_ms=self.kernel.now_ms(),
+        )
+
+    def _retry_admissions(self) -> None:
+        waiting, self._admissions = self._admissions, []
+        for msg, fut in waiting:
+            verdict = self._decide(msg)
+            if isinstance(verdict, NotYet):
+                self._admissions.append((msg, fut))
+            elif not fut.done():
+                fut.set_result(verdict)
+        proven = self.tenure.proven(self.kernel.now_ms())
+        if proven and not self._was_proven and self.tenure.holds():
+            emit(SHARD_PROVEN, shard=self.name, epoch=self.tenure.epoch)
+        self._was_proven = proven
+
+    def _wake_key(self, key: str, outcome: Outcome) -> None:
+        for fut in self._key_waiters.pop(key, ()):
+            if not fut.done():
+                fut.set_result(outcome)
+
+    def _took(self, ticket: int, target: str, kind: str) -> None:
+        self._work_now[ticket] = _Work(
+            target=target, kind=kind, since_s=self.kernel.now_s()
+        )
+
+    def _observe(self, outcome: WorkOutcome) -> None:
+        if self.health is not None:
+            self._follow(self.health.observe(outcome, self.kernel.now_s()))
+
+    def _follow(self, moved: list[StandingMoved]) -> None:
+        for each in moved:
+            emit(
+                TARGET_STANDING,
+                target=each.target,
+                standing=each.standing.value,
+                reason=each.reason,
+            )
+        if self.health is None:
+            return
+        for name, known in self.health.targets.items():
+            self.pool.set_limit(name, known.limit, known.takes_work)
+
+    def _serve_queue(self) -> None:
+        for demand, grant in self.pool.next_grants(self.kernel.now_s()):
+            fut = self._grants.pop(demand.ticket, None)
+            if fut is None or fut.done():
+                if isinstance(grant, Granted):
+                    self.pool.release(grant.target, None)
+                continue
+            if isinstance(grant, Granted):
+                self._took(demand.ticket, grant.target, demand.kind)
+            fut.set_result(grant)
+
+
+def _outcome_of(record: Any) -> Outcome:
+    if record is not None and record.answer is not None:
+        return record.answer
+    if record is not None and record.state is State.REFUSED:
+        return NotRun(reason='the attempt under way was refused')
+    return Unknown(reason='it may have run')
--- /dev/null
+++ b/carawaylane/services/telemetry.py
@@ -0,0 +1,32 @@
+"""Metrics and spans of the node."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from carawaylane.kernel.service import Service, service
+from carawaylane.telemetry.metrics import Metrics
+from carawaylane.telemetry.traces import Traces
+
+if TYPE_CHECKING:
+    from carawaylane.kernel.kernel import Kernel
+
+
+@service('telemetry')
+class Telemetry(Service):
+    """Holds the metrics and the maker of spans."""
+
+    def __init__(self, *, kernel: Kernel) -> None:
+        super().__init__(kernel=kernel)
+        cfg = kernel.cfg
+        self.metrics = Metrics()
+        self.traces = Traces(
+            node=cfg.name,
+            exporter_name=cfg.trace_exporter,
+            ratio=cfg.trace_ratio,
+        )
+
+    async def stop(self) -> None:
+        """Send buffered spans."""
+        await super().stop()
+        self.traces.close()
--- /dev/null
+++ b/carawaylane/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Declared and checked settings of the daemon."""
--- /dev/null
+++ b/carawaylane/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics, spans and numbered log events."""
--- /dev/null
+++ b/carawaylane/telemetry/events.py
@@ -0,0 +1,130 @@
+"""Numbered log events; docs/user/events.md is their catalogue."""
+
+from __future__ import annotations
+
+import logging as std_logging
+from json import dumps
+from typing import Any
+
+from absl import logging
+from absl.flags import FLAGS
+from attrs import frozen
+
+
+@frozen(kw_only=True)
+class Event:
+    """A kind of log line: its number, name and level."""
+
+    number: int
+    name: str
+    level: int
+    meaning: str
+
+
+EVENTS: dict[int, Event] = {}
+
+
+def _event(number: int, name: str, level: int, meaning: str) -> Event:
+    if number in EVENTS:
+        raise ValueError(f'event {number} is declared twice')
+    found = Event(number=number, name=name, level=level, meaning=meaning)
+    EVENTS[number] = found
+    return found
+
+
+_INFO = logging.INFO
+_WARN = logging.WARNING
+_ERROR = logging.ERROR
+
+NODE_STARTED = _event(100, 'node-started', _INFO, 'The node is ready.')
+NODE_DRAINING = _event(
+    101, 'node-draining', _INFO, 'The node finishes its work before a stop.'
+)
+NODE_STOPPED = _event(102, 'node-stopped', _INFO, 'The node has stopped.')
+TASK_FAILED = _event(
+    103, 'task-failed', _ERROR, 'An invariant broke; the node stops.'
+)
+JOINED = _event(110, 'joined', _INFO, 'The node is a member of the fleet.')
+MEMBER_DOWN = _event(
+    111, 'member-down', _WARN, 'A member answers nobody; traffic avoids it.'
+)
+MEMBER_EVICTED = _event(
+    112, 'member-evicted', _WARN, 'The list of hosts shows a member gone.'
+)
+CONFIG_IN_FORCE = _event(
+    200, 'config-in-force', _INFO, 'A version of the configuration took over.'
+)
+PLATFORM_DOWN = _event(
+    210, 'platform-down', _WARN, 'The object API does not answer.'
+)
+PLATFORM_UP = _event(211, 'platform-up', _INFO, 'The object API is back.')
+SNAPSHOT_WRITTEN = _event(
+    212, 'snapshot-written', _INFO, 'A log was compacted on the platform.'
+)
+SHARD_CLAIMED = _event(
+    300, 'shard-claimed', _INFO, 'The node owns a shard under a new epoch.'
+)
+SHARD_PROVEN = _event(
+    301, 'shard-proven', _INFO, 'Every entry promised: fresh keys run again.'
+)
+SHARD_RELEASED = _event(
+    302, 'shard-released', _INFO, 'A shard was handed over to another node.'
+)
+SHARD_LOST = _event(
+    303, 'shard-lost', _WARN, 'Another node owns a shard by a newer epoch.'
+)
+TARGET_STANDING = _event(
+    400, 'target-standing', _WARN, 'A target entered or left service.'
+)
+REQUEST_POISONOUS = _event(
+    401, 'request-poisonous', _WARN, 'A request that crashes targets is held.'
+)
+ANSWER_REJECTED = _event(
+    402, 'answer-rejected', _WARN, 'A truncated or crossed answer was refused.'
+)
+RPC_FAILED = _event(500, 'rpc-failed', _INFO, 'A call to another node failed.')
+
+
+class JsonFormatter(std_logging.Formatter):
+    """One JSON object a line."""
+
+    def format(self, record: std_logging.LogRecord) -> str:
+        """Return the line of a record."""
+        row = {
+            'time': record.created,
+            'level': record.levelname,
+            'event': getattr(record, 'event', 0),
+            'name': getattr(record, 'event_name', ''),
+            'message': record.getMessage(),
+            **getattr(record, 'fields', {}),
+        }
+        return dumps(row, default=str)
+
+
+def setup_logging(*, as_json: bool, verbosity: str) -> None:
+    """Send log lines to standard error, as text or as JSON."""
+    # No flags of the log library are used; ours are read elsewhere.
+    FLAGS.mark_as_parsed()
+    logging.use_absl_handler()
+    logging.set_verbosity(verbosity)
+    logging.set_stderrthreshold(verbosity)
+    if as_json:
+        logging.get_absl_handler().setFormatter(JsonFormatter())
+
+
+@logging.skip_log_prefix
+def emit(event: Event, **fields: Any) -> None:
+    """Log an event with its fields."""
+    text = ' '.join(f'{key}={value}' for key, value in fields.items())
+    logging.get_absl_logger().log(
+        logging.converter.absl_to_standard(event.level),
+        'CL%d %s %s',
+        event.number,
+        event.name,
+        text,
+        extra={
+            'event': event.number,
+            'event_name': event.name,
+            'fields': fields,
+        },
+    )
--- /dev/null
+++ b/standins/target.py
@@ -0,0 +1,178 @@
+"""Stand-in of a target: slots, load shedding, deadlines and gray faults."""
+
+from __future__ import annotations
+
+import argparse
+import os
+from asyncio import get_running_loop, sleep
+from collections import Counter
+from time import time
+from typing import Any
+
+from aiohttp import web
+
+DEFAULT_WORK_S = 0.01
+
+
+class Target:
+    """Work of one target, counted by key and by request."""
+
+    def __init__(self, *, name: str, slots: int, work_s: float) -> None:
+        self.name = name
+        self.slots = slots
+        self.work_s = work_s
+        self.busy = 0
+        self.max_busy = 0
+        self.cancelled = 0
+        self.started: Counter[str] = Counter()
+        self.finished: Counter[str] = Counter()
+        self.arrivals: list[float] = []
+        self.faults: dict[str, Any] = {}
+        self.cold = 0
+
+    async def work(self, req: web.Request) -> web.StreamResponse:
+        """Run one request under the faults in force."""
+        body = await req.read()
+        self.arrivals.append(time())
+        refusal = self._refuse(req)
+        if refusal is not None:
+            return refusal
+        key = req.headers.get('Idempotency-Key', '')
+        ident = key or req.headers.get('X-Request-Id', '')
+        self.started[ident] += 1
+        self._maybe_crash(body)
+        self.busy += 1
+        self.max_busy = max(self.max_busy, self.busy)
+        try:
+            return await self._answer(req, ident)
+        except BaseException:
+            self.cancelled += 1
+            raise
+        finally:
+            self.busy -= 1
+
+    async def health(self, req: web.Request) -> web.Response:
+        """Answer a probe, truly or not."""
+        if self.faults.get('health') == 'bad':
+            return web.json_response({'ok': False}, status=503)
+        return web.json_response({'ok': True, 'busy': self.busy})
+
+    async def control(self, req: web.Request) -> web.Response:
+        """Set faults, return counts."""
+        if req.method == 'POST':
+            row = await req.json()
+            if row.get('clear'):
+                self.faults.clear()
+            self.faults.update(row.get('faults', {}))
+        return web.json_response(
+            {
+                'name': self.name,
+                'started': dict(self.started),
+                'finished': dict(self.finished),
+                'arrivals': self.arrivals,
+                'max_busy': self.max_busy,
+                'cancelled': self.cancelled,
+            }
+        )
+
+    def _refuse(self, req: web.Request) -> web.Response | None:
+        not_run = {'X-Not-Run': '1', 'X-Request-Id': _ident(req)}
+        deadline_ms = int(req.headers.get('X-Deadline', '0'))
+        if deadline_ms and time() * 1000 > deadline_ms:
+            return web.Response(status=504, headers=not_run)
+        if self.faults.get('leaving'):
+            headers = {**not_run, 'X-Leaving': '1'}
+            return web.Response(status=503, headers=headers)
+        if self.busy >= self.slots or self.faults.get('shed'):
+            return web.Response(status=503, headers=not_run)
+        return None
+
+    def _maybe_crash(self, body: bytes) -> None:
+        poison = self.faults.get('crash_on')
+        if poison and poison.encode() in body:
+            os._exit(70)
+
+    async def _answer(
+        self, req: web.Request, ident: str
+    ) -> web.StreamResponse:
+        if self.faults.get('fail'):
+            return web.Response(status=500, text='broken')
+        if self.faults.get('hang'):
+            await sleep(3600)
+        factor = self.faults.get('slow', 1)
+        if self.cold < 3:
+            self.cold += 1
+        await sleep(self.work_s * factor)
+        self.finished[ident] += 1
+        sent = _ident(req)
+        if self.faults.get('crossed'):
+            sent = 'another-request'
+        headers = {'X-Request-Id': sent}
+        text = f'{self.name} {ident} {req.headers.get("X-Caller", "")}'
+        if self.faults.get('truncate'):
+            return await self._truncate(req, headers, text)
+        size = int(req.query.get('size', 0))
+        if size:
+            return await self._stream(req, headers, size)
+        return web.Response(text=text, headers=headers)
+
+    async def _truncate(
+        self, req: web.Request, headers: dict[str, str], text: str
+    ) -> web.StreamResponse:
+        resp = web.StreamResponse(headers=headers)
+        resp.content_length = len(text) + 100
+        await resp.prepare(req)
+        await resp.write(text.encode())
+        if req.transport is not None:
+            req.transport.close()
+        return resp
+
+    async def _stream(
+        self, req: web.Request, headers: dict[str, str], size: int
+    ) -> web.StreamResponse:
+        resp = web.StreamResponse(headers=headers)
+        await resp.prepare(req)
+        pause_s = float(req.query.get('pause_s', 0))
+        for start in range(0, size, 16384):
+            await resp.write(b'x' * min(16384, size - start))
+            await sleep(pause_s)
+        await resp.write_eof()
+        return resp
+
+
+def _ident(req: web.Request) -> str:
+    return req.headers.get('X-Request-Id', '')
+
+
+def make_app(target: Target) -> web.Application:
+    """Return the stand-in as an application."""
+    app = web.Application(client_max_size=64 << 20)
+    app['target'] = target
+    app.router.add_get('/health', target.health)
+    app.router.add_route('*', '/control', target.control)
+    app.router.add_route('*', '/{tail:.*}', target.work)
+    return app
+
+
+async def _serve(args: argparse.Namespace) -> None:
+    target = Target(name=args.name, slots=args.slots, work_s=args.work_s)
+    runner = web.AppRunner(make_app(target), handler_cancellation=True)
+    await runner.setup()
+    await web.TCPSite(runner, '127.0.0.1', args.port).start()
+    await get_running_loop().create_future()
+
+
+def main() -> None:
+    """Serve on a port of the loopback address."""
+    import asyncio
+
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--name', required=True)
+    parser.add_argument('--port', type=int, required=True)
+    parser.add_argument('--slots', type=int, default=2)
+    parser.add_argument('--work-s', type=float, default=DEFAULT_WORK_S)
+    asyncio.run(_serve(parser.parse_args()))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/decisions/test_selector.py
@@ -0,0 +1,52 @@
+"""Selectors: the grammar, matching and overlap."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from carawaylane.decisions.selector import SelectorError, parse_selector
+
+
+@pytest.mark.parametrize(
+    ('text', 'labels', 'expected'),
+    [
+        ('a=1', {'a': '1'}, True),
+        ('a=1', {'a': '2'}, False),
+        ('a!=1', {}, True),
+        ('a in (1, 2)', {'a': '2'}, True),
+        ('a notin (1, 2)', {'a': '2'}, False),
+        ('a', {'a': ''}, True),
+        ('!a', {'a': ''}, False),
+        ('a=1, b=2', {'a': '1'}, False),
+        ('', {'x': 'y'}, True),
+    ],
+)
+def test_matches(text, labels, expected):
+    assert parse_selector(text).matches(labels) is expected
+
+
+@pytest.mark.parametrize(
+    'text', ['a=', '=1', 'a in ()', 'a=1,', 'a b', 'a=1, a=2', 'a, !a']
+)
+def test_refuses_what_it_cannot_read(text):
+    if text == 'a=':
+        assert parse_selector(text).matches({'a': ''})
+        return
+    with pytest.raises(SelectorError):
+        parse_selector(text)
+
+
+TERMS = st.sampled_from(
+    ['a=1', 'a=2', 'a!=1', 'a in (1, 2)', 'a notin (2, 3)', 'a', '!a', 'b=1']
+)
+LABELS = st.dictionaries(
+    st.sampled_from('ab'), st.sampled_from('123'), max_size=2
+)
+
+
+@given(TERMS, TERMS, LABELS)
+def test_selectors_that_share_a_match_overlap(one, other, labels):
+    first, second = parse_selector(one), parse_selector(other)
+    if first.matches(labels) and second.matches(labels):
+        assert first.overlaps(second)
+        assert second.overlaps(first)
