--- a/carawaylane/decisions/ledger.py
+++ b/carawaylane/decisions/ledger.py
@@ -21,6 +21,8 @@
 # A refused key runs again only for an attempt accepted this much later,
 # which outlasts the clock difference between two hosts.
 REFUSAL_MARGIN_MS = 250
+# No run outlasts the longest timeout, so one older than this is lost.
+LONGEST_RUN_MS = 120_000
 # Share of a record beside its answer.
 RECORD_OVERHEAD_BYTES = 400
 
@@ -141,7 +143,8 @@
         for key, record in list(self.records.items()):
             if record.at_ms > horizon_ms:
                 return
-            if record.state is not State.RUNNING:
+            running = record.state is State.RUNNING
+            if not running or record.at_ms <= horizon_ms - LONGEST_RUN_MS:
                 self._remove(key)
 
     def _readmit(
--- a/carawaylane/decisions/tenure.py
+++ b/carawaylane/decisions/tenure.py
@@ -9,11 +9,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
 from attrs import Factory, define
 
 from carawaylane.decisions.fleet import EPOCH_STEP, ShardId
+from carawaylane.decisions.journal import Promise
 from carawaylane.decisions.ledger import (
     Doubtful,
     Ledger,
@@ -22,9 +22,6 @@
 )
 from carawaylane.messages.outcomes import Moved
 
-if TYPE_CHECKING:
-    from carawaylane.decisions.journal import Promise
-
 MINTED_PREFIX = 'cl'
 
 
@@ -71,6 +68,7 @@
     former: str = ''
     heir: str = ''
     heir_epoch: int = 0
+    inherited_epoch: int = 0
     waiting: set[str] = Factory(set)
     unproven_until_ms: int = 0
     gather_until_ms: int = 0
@@ -88,7 +86,8 @@
         """Start under a claim of the log.
 
         `fresh` says that the shard never had an owner; `members` are those
-        whose promise is needed: all but this node and the former owner.
+        whose promise is needed: all but the former owner, who never
+        journals keys that it runs itself.
         """
         if self.holds() and self._continues(epoch):
             self.epoch = epoch
@@ -109,16 +108,22 @@
         self, *, epoch: int, records: list[Record], unproven_until_ms: int
     ) -> bool:
         """Start by a handover; False if a newer epoch is known here."""
-        if epoch <= self.epoch:
+        if epoch <= self.seen_epoch:
             return False
         self.ledger.adopt(records, still_running=True)
         self.epoch = epoch
+        self.inherited_epoch = epoch
         self.heir = ''
         self.waiting = set()
         self.unproven_until_ms = unproven_until_ms
         self.active = True
         return True
 
+    @property
+    def seen_epoch(self) -> int:
+        """The newest epoch that this node knows of, whoever holds it."""
+        return max(self.epoch, self.heir_epoch)
+
     def holds(self) -> bool:
         """Return whether this node owns the shard now."""
         return self.active and not self.heir
@@ -155,12 +160,24 @@
 
     def retire(self, *, owner: str, epoch: int) -> None:
         """Stop owning the shard since another holds a newer epoch."""
-        if epoch <= self.epoch:
+        if epoch <= self.seen_epoch:
             return
         self.active = False
         self.heir = owner
         self.heir_epoch = epoch
 
+    def fenced(self, *, successor: str, epoch: int) -> Promise:
+        """Return this node's promise as an owner, which then retires."""
+        if self.active and epoch <= self.epoch:
+            return Promise(promised=False, known_epoch=self.epoch)
+        known = self.seen_epoch
+        self.retire(owner=successor, epoch=epoch)
+        return Promise(
+            promised=True,
+            records=tuple(self.ledger.records.values()),
+            known_epoch=known,
+        )
+
     def admit(
         self,
         *,
--- a/carawaylane/messages/home.py
+++ b/carawaylane/messages/home.py
@@ -5,7 +5,7 @@
 from attrs import Factory, frozen
 
 from carawaylane.config.schema import Service, Target
-from carawaylane.decisions.fleet import ShardId
+from carawaylane.decisions.fleet import FleetState, ShardId
 from carawaylane.decisions.health import Outcome as WorkOutcome
 from carawaylane.decisions.journal import Promise
 from carawaylane.decisions.ledger import Record
@@ -92,22 +92,10 @@
 
 
 @frozen(kw_only=True)
-class BeginTenure:
-    """The log names this node as the owner."""
+class FollowFleet:
+    """The fleet log moved; the reply says if promises are wanted."""
 
-    epoch: int
-    fresh: bool
-    former: str
-    members: frozenset[str]
-    unproven_until_ms: int
-
-
-@frozen(kw_only=True)
-class RetireTenure:
-    """The log names another owner under a newer epoch."""
-
-    owner: str
-    epoch: int
+    fleet: FleetState
 
 
 @frozen(kw_only=True)
@@ -118,14 +106,6 @@
     promise: Promise
 
 
-@frozen(kw_only=True)
-class MemberGone:
-    """A member is dead for certain and its journal is lost."""
-
-    member: str
-    lost_until_ms: int
-
-
 @frozen(kw_only=True)
 class FenceOwner:
     """A successor asks; the reply tells what this owner has run."""
--- a/carawaylane/services/homes.py
+++ b/carawaylane/services/homes.py
@@ -9,17 +9,16 @@
 from carawaylane.decisions.journal import Fence, Promise
 from carawaylane.decisions.ledger import State
 from carawaylane.decisions.placement import claimant_of, heir_of
+from carawaylane.decisions.succession import join_promises
 from carawaylane.kernel.service import Actor, handles, service
 from carawaylane.messages.home import (
-    BeginTenure,
     Configure,
     FenceOwner,
+    FollowFleet,
     Inherit,
     Inheritance,
-    MemberGone,
     Promised,
     ReleaseTenure,
-    RetireTenure,
 )
 from carawaylane.messages.logs import FleetMoved
 from carawaylane.rpc.codec import (
@@ -133,12 +132,7 @@
                 return owned
         journal = self.kernel.find('journal')
         mine = await journal.ask(AskPromise(shard=shard, fence=fence))
-        return Promise(
-            promised=mine.promised,
-            records=mine.records + owned.records,
-            vouched=mine.vouched,
-            known_epoch=max(mine.known_epoch, owned.known_epoch),
-        )
+        return join_promises(mine, owned)
 
     async def inherit(
         self, shard: ShardId, source: str, epoch: int, left: Inheritance
@@ -165,12 +159,9 @@
     @handles(FleetMoved)
     def _fleet_moved(self, msg: FleetMoved) -> None:
         for shard, held in self._relay.fleet.holdings.items():
-            if held.owner == self.kernel.member:
-                self._maybe_begin(shard, held)
-            elif shard in self.shards:
-                self._follow_other(shard, held)
+            if held.owner == self.kernel.member or shard in self.shards:
+                self.spawn(self._follow_fleet(shard))
         for home in self.shards.values():
-            self._drop_gone(home)
             self._configure(home)
 
     def _configure(self, home: ShardHome) -> None:
@@ -183,75 +174,44 @@
             Configure(service=spec, targets=targets, leaving_hosts=leaving)
         )
 
-    def _maybe_begin(self, shard: ShardId, held: Holding) -> None:
-        home = self.shards.get(shard)
-        if home is None or home.tenure.epoch < held.epoch:
-            self.spawn(self._begin(shard, held))
-
-    def _follow_other(self, shard: ShardId, held: Holding) -> None:
-        home = self.shards[shard]
-        if held.epoch > home.tenure.epoch:
-            home.post(RetireTenure(owner=held.owner, epoch=held.epoch))
-
-    def _drop_gone(self, home: ShardHome) -> None:
-        fleet = self._relay.fleet
-        window_ms = self.kernel.cfg.resend_window_ms
-        for member in list(home.tenure.waiting):
-            if member in fleet.members:
-                continue
-            loss = fleet.losses.get(member)
-            if loss is not None:
-                home.post(
-                    MemberGone(
-                        member=member, lost_until_ms=loss.at_ms + window_ms
-                    )
-                )
-
-    async def _begin(self, shard: ShardId, held: Holding) -> None:
+    async def _follow_fleet(self, shard: ShardId) -> None:
         home = await self.home(shard)
         if home is None:
             return
-        fleet = self._relay.fleet
-        window_ms = self.kernel.cfg.resend_window_ms
-        now_ms = self.kernel.now_ms()
-        lost_ms = fleet.losses_within(now_ms - window_ms, held.previous)
-        members = set(fleet.members) - {held.previous, self.kernel.member}
-        await home.ask(
-            BeginTenure(
-                epoch=held.epoch,
-                fresh=not held.previous,
-                former=held.previous,
-                members=frozenset(members),
-                unproven_until_ms=lost_ms + window_ms if lost_ms else 0,
-            )
-        )
-        await self._gather(home, held)
-
-    async def _gather(self, home: ShardHome, held: Holding) -> None:
-        fence = Fence(epoch=held.epoch, successor=self.kernel.member)
-        mine = await self.fence(home.shard, fence)
-        home.post(Promised(member=self.kernel.member, promise=mine))
-        former = {held.previous} if home.tenure.waiting else set()
-        while home.tenure.epoch == held.epoch and home.tenure.waiting:
-            asked = (home.tenure.waiting | former) & set(
-                self._relay.fleet.members
-            )
-            limit = Semaphore(FENCE_PARALLEL)
-            alive = {each.name for each in self._membership.alive()}
-            others = alive if home.tenure.waiting - alive else set()
+        if await home.ask(FollowFleet(fleet=self._relay.fleet)):
+            await self._gather(home)
+
+    async def _gather(self, home: ShardHome) -> None:
+        """Ask for promises until all that are needed are in."""
+        tenure = home.tenure
+        epoch = tenure.epoch
+        fence = Fence(epoch=epoch, successor=self.kernel.member)
+        limit = Semaphore(FENCE_PARALLEL)
+        # The former owner need not promise, but if it lives it can tell
+        # the answers that it gave.
+        extra = {tenure.former}
+        while tenure.epoch == epoch and tenure.waiting:
+            members = set(self._relay.fleet.members)
+            asked = members & (tenure.waiting | extra)
+            if tenure.waiting - members:
+                # Another member may keep the journal of one that left.
+                asked = members
             await gather(
                 *(
                     self._ask_promise(home, name, fence, limit)
-                    for name in asked | others
+                    for name in asked
                 )
             )
-            await sleep(0)
-            if home.tenure.waiting:
+            if tenure.waiting:
                 await sleep(FENCE_AGAIN_S)
 
     async def _ask_promise(
         self, home: ShardHome, member: str, fence: Fence, limit: Semaphore
     ) -> None:
+        if member == self.kernel.member:
+            promise = await self.fence(home.shard, fence)
+            await home.ask(Promised(member=member, promise=promise))
+            return
         msg = FenceRequest(
             service=home.shard[0],
             shard=home.shard[1],
--- a/carawaylane/services/shard.py
+++ b/carawaylane/services/shard.py
@@ -8,29 +8,27 @@
 from carawaylane.decisions.health import Moved as StandingMoved
 from carawaylane.decisions.health import Outcome as WorkOutcome
 from carawaylane.decisions.health import ShardHealth
-from carawaylane.decisions.journal import Promise
 from carawaylane.decisions.ledger import Ledger, State
 from carawaylane.decisions.slots import Granted, Queued, SlotPool
+from carawaylane.decisions.succession import Windows, follow_fleet
 from carawaylane.decisions.tenure import NotYet, Tenure
 from carawaylane.kernel.service import Actor, handles
 from carawaylane.messages.home import (
     Acquire,
     AdmitKey,
     AwaitKey,
-    BeginTenure,
     CancelDemand,
     Configure,
     CrashedBy,
     Describe,
     FenceOwner,
+    FollowFleet,
     Inherit,
     Inheritance,
-    MemberGone,
     Observed,
     Promised,
     Release,
     ReleaseTenure,
-    RetireTenure,
     SaidLeaving,
     SettleKey,
     ShardRow,
@@ -50,6 +48,7 @@
 if TYPE_CHECKING:
     from carawaylane.config.schema import Service, Target
     from carawaylane.decisions.fleet import ShardId
+    from carawaylane.decisions.journal import Promise
     from carawaylane.decisions.ledger import Verdict
     from carawaylane.kernel.kernel import Kernel
     from carawaylane.messages.outcomes import Moved, Outcome
@@ -249,51 +248,38 @@
                 ledger.doubt(msg.key, now_ms)
         self._wake_key(msg.key, msg.outcome)
 
-    @handles(BeginTenure)
-    def _begin(self, msg: BeginTenure) -> None:
-        if msg.epoch <= self.tenure.epoch:
-            return
-        self.tenure.begin(
-            epoch=msg.epoch,
-            fresh=msg.fresh,
-            members=set(msg.members),
-            unproven_until_ms=msg.unproven_until_ms,
-            gather_until_ms=self.kernel.now_ms() + self.kernel.cfg.gather_ms,
-            former=msg.former,
+    @handles(FollowFleet)
+    def _follow_fleet(self, msg: FollowFleet) -> bool:
+        tenure = self.tenure
+        held, epoch = tenure.holds(), tenure.epoch
+        cfg = self.kernel.cfg
+        follow_fleet(
+            tenure,
+            msg.fleet,
+            self.kernel.now_ms(),
+            Windows(resend_ms=cfg.resend_window_ms, gather_ms=cfg.gather_ms),
         )
-        emit(SHARD_CLAIMED, shard=self.name, epoch=msg.epoch, fresh=msg.fresh)
-        self._was_proven = False
-
-    @handles(RetireTenure)
-    def _retire(self, msg: RetireTenure) -> None:
-        held = self.tenure.holds()
-        self.tenure.retire(owner=msg.owner, epoch=msg.epoch)
-        if held and not self.tenure.holds():
-            emit(SHARD_LOST, shard=self.name, owner=msg.owner)
+        began = tenure.holds() and tenure.epoch != epoch
+        if began:
+            emit(SHARD_CLAIMED, shard=self.name, epoch=tenure.epoch)
+            self._was_proven = False
+        elif held and not tenure.holds():
+            emit(SHARD_LOST, shard=self.name, owner=tenure.heir)
         self._retry_admissions()
+        return began
 
     @handles(Promised)
     def _promised(self, msg: Promised) -> None:
         self.tenure.promised(msg.member, msg.promise)
         self._retry_admissions()
 
-    @handles(MemberGone)
-    def _member_gone(self, msg: MemberGone) -> None:
-        self.tenure.gone(msg.member, msg.lost_until_ms)
-        self._retry_admissions()
-
     @handles(FenceOwner)
     def _fence(self, msg: FenceOwner) -> Promise:
-        tenure = self.tenure
-        if tenure.active and msg.epoch <= tenure.epoch:
-            return Promise(promised=False, known_epoch=tenure.epoch)
-        known = max(tenure.epoch, tenure.heir_epoch)
-        tenure.retire(owner=msg.successor, epoch=msg.epoch)
-        return Promise(
-            promised=True,
-            records=tuple(tenure.ledger.records.values()),
-            known_epoch=known,
-        )
+        held = self.tenure.holds()
+        promise = self.tenure.fenced(successor=msg.successor, epoch=msg.epoch)
+        if held and not self.tenure.holds():
+            emit(SHARD_LOST, shard=self.name, owner=msg.successor)
+        return promise
 
     @handles(ReleaseTenure)
     def _release_tenure(self, msg: ReleaseTenure) -> Inheritance | None:
@@ -308,7 +294,7 @@
     @handles(Inherit)
     def _inherit(self, msg: Inherit) -> bool:
         tenure = self.tenure
-        if tenure.holds() and msg.epoch == tenure.epoch:
+        if tenure.holds() and msg.epoch == tenure.inherited_epoch:
             self._settle_inherited(msg)
             return True
         return tenure.inherit(
