--- a/carawaylane/decisions/membership.py
+++ b/carawaylane/decisions/membership.py
@@ -17,8 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-SUSPECT_AFTER_MISSES = 1
-DOWN_AFTER_S = 2.0
+DOWN_AFTER_S = 1.5
 # Times that a rumour is passed on, per doubling of the fleet.
 RUMOUR_REPEATS = 3
 MAX_RUMOURS_PER_MESSAGE = 6
--- a/carawaylane/services/membership.py
+++ b/carawaylane/services/membership.py
@@ -31,6 +31,7 @@
     def __init__(self, *, kernel: Kernel) -> None:
         super().__init__(kernel=kernel)
         self.view = MembershipView(own=kernel.member, rng=kernel.rng)
+        self._checking: set[str] = set()
 
     async def start(self) -> None:
         """Start pinging."""
@@ -66,6 +67,13 @@
             fleet_seq=self._relay.seq('fleet'),
         )
 
+    def check_soon(self, member: str) -> None:
+        """Ping a member out of turn, since a call to it failed."""
+        if member in self._checking or member not in self.view.views:
+            return
+        self._checking.add(member)
+        self.spawn(self._check(member))
+
     async def ping(self, member: str, *, target: str = '') -> bool:
         """Return whether a member answers, or reaches `target`."""
         msg = PingRequest(
@@ -99,6 +107,12 @@
             await sleep(period_s)
 
     async def _check(self, member: str) -> None:
+        try:
+            await self._check_once(member)
+        finally:
+            self._checking.discard(member)
+
+    async def _check_once(self, member: str) -> None:
         if await self.ping(member):
             self.view.heard(member, self.kernel.now_s())
             return
