Processes killed, paused, cut off and replaced under load

Change: tests with real processes. Causes found by them and mended: a missed ping closed a connection with streams on it and cut answers in flight (now retired: new calls take a new one, work on the old goes on unless a ping on it is silent for 1 s); the share of the deadline for one try also limited the body of a streaming answer (now it is for the head, then for each pause); a stream was reset instead of closed after the last piece. Ruled out for the lost calls of the rolling replacement: the nodes; the test's own balancer sent callers to a node that was not ready yet.

--- a/bench/callers.py
+++ b/bench/callers.py
@@ -28,6 +28,7 @@
     not_run_keys: set[str] = Factory(set)
     unknown_keys: set[str] = Factory(set)
     wrong: list[str] = Factory(list)
+    lost: list[str] = Factory(list)
     latency_s: dict[str, list[float]] = Factory(dict)
 
     def share(self, kind: str, what: str) -> float:
@@ -58,7 +59,7 @@
         ready = [
             proc.url
             for proc in self.cluster.nodes.values()
-            if proc.process.returncode is None
+            if proc.ready and proc.process.returncode is None
         ]
         return self.rng.choice(ready)
 
@@ -75,8 +76,9 @@
                 what = self._read(resp.status, resp.headers)
                 if what == 'answered' and not text.endswith(caller):
                     self.account.wrong.append(f'{caller} got {text!r}')
-        except (TimeoutError, ClientError, OSError):
+        except (TimeoutError, ClientError, OSError) as exc:
             what = 'connection lost'
+            self.account.lost.append(repr(exc))
         self._took('lookup', monotonic() - began_s, what)
         return what
 
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -35,6 +35,7 @@
     process: Process
     port: int
     admin: int = 0
+    ready: bool = False
     argv: list[str] = Factory(list)
 
     @property
@@ -111,6 +112,7 @@
         proc.admin = admin
         self.nodes[name] = proc
         await self.until(lambda: self.get(f'{self.admin_url(name)}/ready'))
+        proc.ready = True
         return proc
 
     def admin_url(self, name: str) -> str:
--- a/carawaylane/services/membership.py
+++ b/carawaylane/services/membership.py
@@ -116,7 +116,7 @@
         if await self.ping(member):
             self.view.heard(member, self.kernel.now_s())
             return
-        self._peers.reset(member)
+        self._peers.retire(member)
         helpers = self.view.helpers(member, HELPERS)
         found = await gather(
             self.ping(member),
--- a/carawaylane/services/peers.py
+++ b/carawaylane/services/peers.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from asyncio import TimeoutError as AsyncTimeoutError
-from asyncio import sleep, timeout
+from asyncio import get_running_loop, sleep, timeout
+from collections import Counter
 from contextlib import aclosing
 from typing import TYPE_CHECKING, Any
 
@@ -15,6 +16,7 @@
 from carawaylane.messages.outcomes import Failed, Unknown
 from carawaylane.rpc.codec import pack_request, unpack_piece
 from carawaylane.rpc.node_grpc import NodeStub
+from carawaylane.rpc.node_pb2 import PingRequest
 from carawaylane.telemetry.events import RPC_FAILED, emit
 
 if TYPE_CHECKING:
@@ -27,6 +29,8 @@
 SOURCE_KEY = 'source'
 NODE_LOST = 'a node was lost'
 CONNECT_TIMEOUT_S = 0.5
+# A connection on which a ping takes this long has gone silent.
+SILENT_AFTER_S = 1.0
 # Time beyond the deadline that a home gets to say how a request ended.
 GRACE_S = 0.25
 RPC_ERRORS = (
@@ -49,6 +53,7 @@
     def __init__(self, *, kernel: Kernel) -> None:
         super().__init__(kernel=kernel)
         self._channels: dict[str, Channel] = {}
+        self._busy: Counter[Channel] = Counter()
         self.cut_to: set[str] = set()
         self.cut_from: set[str] = set()
 
@@ -75,11 +80,28 @@
         """Return whether a test cut the way from a member."""
         return _host(member) in self.cut_from
 
-    def reset(self, member: str) -> None:
-        """Give up a connection that may have gone silent."""
+    def retire(self, member: str) -> None:
+        """Use a new connection from now on, as this one may be silent.
+
+        Work on the old one goes on, unless it turns out to be silent.
+        """
         channel = self._channels.pop(self.address_of(member), None)
         if channel is not None:
-            channel.close()
+            self.spawn(self._watch_retired(member, channel))
+
+    async def _watch_retired(self, member: str, channel: Channel) -> None:
+        ping = PingRequest(source=self.kernel.member, target=member)
+        while channel in self._busy:
+            try:
+                async with timeout(SILENT_AFTER_S):
+                    await self._pass_cut(member)
+                    await NodeStub(channel).Ping(
+                        ping, metadata=self._metadata()
+                    )
+            except RPC_ERRORS:
+                break
+            await sleep(SILENT_AFTER_S)
+        channel.close()
 
     async def call(
         self, member: str, method: str, msg: Message, timeout_s: float
@@ -111,15 +133,20 @@
         """
         channel = await self._open(member)
         left_s = (req.deadline_ms - self.kernel.now_ms()) / 1000 + GRACE_S
-        lost = _lost(req)
+        left_s = max(0.01, left_s)
         ended = False
         try:
-            async with timeout(max(0.01, left_s)):
-                await self._pass_cut(member)
-                async with aclosing(self._pieces(channel, req, hop)) as pieces:
-                    async for piece in pieces:
-                        ended = piece.end is not None
-                        yield piece
+            async with (
+                timeout(left_s) as limit,
+                aclosing(self._pieces(channel, member, req, hop)) as pieces,
+            ):
+                async for piece in pieces:
+                    ended = piece.end is not None
+                    # The deadline is for the head; after it, each piece
+                    # has as long, and a slow reader does not count.
+                    limit.reschedule(None)
+                    yield piece
+                    limit.reschedule(get_running_loop().time() + left_s)
         except RPC_ERRORS as exc:
             emit(
                 RPC_FAILED,
@@ -128,16 +155,34 @@
                 error=type(exc).__name__,
             )
         if not ended:
-            yield Piece(end=lost)
+            yield Piece(end=_lost(req))
 
     async def _pieces(
-        self, channel: Channel, req: Request, hop: int
+        self, channel: Channel, member: str, req: Request, hop: int
     ) -> AsyncIterator[Piece]:
+        await self._pass_cut(member)
         stub = NodeStub(channel)
-        async with stub.Forward.open(metadata=self._metadata()) as stream:
-            await stream.send_message(pack_request(req, hop), end=True)
-            async for chunk in stream:
-                yield unpack_piece(chunk)
+        self._busy[channel] += 1
+        last: Piece | None = None
+        try:
+            async with stub.Forward.open(metadata=self._metadata()) as stream:
+                await stream.send_message(pack_request(req, hop), end=True)
+                async for chunk in stream:
+                    piece = unpack_piece(chunk)
+                    if piece.end is None:
+                        yield piece
+                    else:
+                        last = piece
+        except RPC_ERRORS:
+            if last is None:
+                raise
+        finally:
+            self._busy[channel] -= 1
+            if not self._busy[channel]:
+                del self._busy[channel]
+        # Given on after the stream is closed in order, not reset.
+        if last is not None:
+            yield last
 
     async def _open(self, member: str) -> Channel:
         try:
--- a/carawaylane/services/runner.py
+++ b/carawaylane/services/runner.py
@@ -297,6 +297,7 @@
             return NeverSent(reason='the deadline passed')
         rules = ExchangeRules(
             timeout_s=left_s * TRY_SHARE if more else left_s,
+            idle_s=kind.timeout_ms / 1000,
             echoes_request_id=spec.echoes_request_id,
             not_run_header=spec.not_run_header,
             hold_bytes=self.kernel.cfg.max_answer_hold_bytes,
--- a/carawaylane/services/targets.py
+++ b/carawaylane/services/targets.py
@@ -102,9 +102,14 @@
 
 @frozen(kw_only=True)
 class ExchangeRules:
-    """What an exchange must keep to."""
+    """What an exchange must keep to.
+
+    The timeout is for the head of the answer; after it, the body may not
+    pause longer than `idle_s`.
+    """
 
     timeout_s: float
+    idle_s: float
     echoes_request_id: bool
     not_run_header: str
     hold_bytes: int
@@ -166,17 +171,20 @@
         self, session: ClientSession, req: Request, rules: ExchangeRules
     ) -> Exchange:
         limit = ClientTimeout(
-            total=rules.timeout_s, sock_connect=CONNECT_TIMEOUT_S
+            total=None,
+            sock_connect=CONNECT_TIMEOUT_S,
+            sock_read=rules.idle_s,
         )
         try:
-            resp = await session.request(
-                req.method,
-                f'http://{self.address}{req.path}',
-                headers=_outgoing(req),
-                data=req.body or None,
-                timeout=limit,
-                allow_redirects=False,
-            )
+            async with timeout(rules.timeout_s):
+                resp = await session.request(
+                    req.method,
+                    f'http://{self.address}{req.path}',
+                    headers=_outgoing(req),
+                    data=req.body or None,
+                    timeout=limit,
+                    allow_redirects=False,
+                )
         except (ClientConnectorError, ConnectionTimeoutError) as exc:
             return NeverSent(reason=type(exc).__name__)
         except TimeoutError:
--- /dev/null
+++ b/tests/system/test_targets.py
@@ -0,0 +1,111 @@
+"""Targets that are gray, crossed, truncated, crashed or leaving."""
+
+from asyncio import create_task, gather, sleep
+from time import time
+
+from carawaylane.commands.change import drain_targets
+from carawaylane.commands.store import Accepted
+from carawaylane.platform.http import HttpDriver
+from tests.system.conftest import fleet, load
+
+# The brief's "a few seconds" for a leaving target.
+LEAVING_BOUND_S = 3.0
+
+
+async def fetch(callers, url, size):
+    """Return how many bytes came of a slow, streaming answer."""
+    async with callers.session.get(
+        f'{url}/stock/1?size={size}&pause_s=0.05'
+    ) as resp:
+        return len(await resp.read())
+
+
+async def test_crossed_and_truncated_answers_reach_no_caller():
+    async with fleet() as (cluster, callers):
+        stock = cluster.targets['stock-1']
+        charge = cluster.targets['charge-1']
+        async with load(callers):
+            await cluster.control(stock, faults={'crossed': True})
+            await cluster.control(charge, faults={'truncate': True})
+            await sleep(2)
+            await cluster.control(charge, faults={'crossed': True})
+            await cluster.control(stock, faults={'truncate': True})
+            await sleep(2)
+        assert await callers.check() == []
+        assert callers.account.wrong == []
+
+
+async def test_a_poisonous_request_stops_after_one_unsafe_victim():
+    async with fleet() as (cluster, callers):
+        for name in ('charge-1', 'charge-2'):
+            proc = cluster.targets[name]
+            await cluster.control(proc, faults={'crash_on': 'poison'})
+        told = []
+        for number in range(6):
+            async with callers.session.post(
+                callers.entry() + '/charges',
+                data='poison',
+                headers={'Idempotency-Key': f'p{number}'},
+            ) as resp:
+                told.append(resp.headers.get('Carawaylane-Outcome'))
+        dead = [
+            name
+            for name, proc in cluster.targets.items()
+            if proc.process.returncode is not None
+        ]
+        assert len(dead) == 1
+        assert told[0] == 'unknown'
+        assert set(told[1:]) == {'not-run'}
+
+
+async def test_a_poisonous_lookup_stops_after_two_victims():
+    async with fleet() as (cluster, callers):
+        for name in ('stock-1', 'stock-2'):
+            await cluster.add_target(f'{name}-spare')
+        for proc in cluster.targets.values():
+            await cluster.control(proc, faults={'crash_on': 'poison'})
+        for _ in range(6):
+            async with callers.session.post(
+                callers.entry() + '/stock/1', data='poison'
+            ) as resp:
+                await resp.read()
+        dead = [
+            proc
+            for proc in cluster.targets.values()
+            if proc.process.returncode is not None
+        ]
+        assert len(dead) <= 2
+
+
+async def test_a_drained_target_gets_no_new_work_and_finishes_its_own():
+    async with fleet() as (cluster, callers):
+        async with load(callers):
+            await sleep(1)
+            url = callers.entry()
+            slow = create_task(fetch(callers, url, 200_000))
+            driver = HttpDriver(cluster.platform.url)
+            done = await drain_targets(driver, 'op', 'app=charges')
+            assert isinstance(done, Accepted)
+            await driver.close()
+            drained = time()
+            await sleep(LEAVING_BOUND_S + 1)
+            assert await slow == 200_000
+        for name in ('charge-1', 'charge-2'):
+            row = await cluster.control(cluster.targets[name])
+            late = [at for at in row['arrivals'] if at > drained]
+            assert all(at < drained + LEAVING_BOUND_S for at in late)
+        assert await callers.check() == []
+
+
+async def test_a_planned_stop_cuts_no_streaming_answer():
+    async with fleet() as (cluster, callers):
+        tasks = [
+            create_task(fetch(callers, proc.url, 400_000))
+            for proc in cluster.nodes.values()
+        ]
+        await sleep(0.4)
+        codes = await gather(
+            *(cluster.stop(proc) for proc in cluster.nodes.values())
+        )
+        assert codes == [0] * 4
+        assert await gather(*tasks) == [400_000] * 4
