--- a/carawaylane/decisions/placement.py
+++ b/carawaylane/decisions/placement.py
@@ -119,7 +119,7 @@
 
     def cost(each: Member) -> tuple[int, bool, str]:
         near = mine is not None and each.data_centre == mine.data_centre
-        return (counts.get(each.name, 0), not near, each.name)
+        return (counts.get(each.name, 0), near, each.name)
 
     best = min(others, key=cost, default=None)
     return best.name if best else None
--- /dev/null
+++ b/tests/decisions/test_health.py
@@ -0,0 +1,176 @@
+"""Detection, ejection within the floor, return."""
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from carawaylane.config.schema import Weights
+from carawaylane.decisions.health import (
+    FIRST_STAY_S,
+    Outcome,
+    ShardHealth,
+    Standing,
+)
+
+NAMES = ['t0', 't1', 't2', 't3', 't4']
+
+
+def make(floor=50, slots=2, count=5, **kwargs):
+    health = ShardHealth(floor_percent=floor, weights=Weights(), **kwargs)
+    health.configure({name: slots for name in NAMES[:count]})
+    return health
+
+
+def outcome(target, *, failed=False, latency_s=0.05):
+    return Outcome(target=target, kind='k', failed=failed, latency_s=latency_s)
+
+
+def warm(health, now_s=0.0):
+    for _ in range(20):
+        for name in health.targets:
+            health.observe(outcome(name), now_s)
+
+
+def test_two_failures_of_one_target_among_well_peers_eject_it():
+    health = make()
+    warm(health)
+    health.observe(outcome('t0', failed=True), 1.0)
+    health.observe(outcome('t0', failed=True), 1.1)
+    assert health.targets['t0'].standing is Standing.EJECTED
+
+
+def test_a_straggler_is_ejected_though_it_never_fails():
+    health = make()
+    warm(health)
+    for step in range(4):
+        health.observe(outcome('t0', latency_s=0.5), 1.0 + step)
+    assert health.targets['t0'].standing is Standing.EJECTED
+
+
+def test_all_targets_slow_at_once_is_load_and_ejects_none():
+    health = make()
+    warm(health)
+    for step in range(30):
+        for name in health.targets:
+            health.observe(outcome(name, latency_s=1.0), 1.0 + step)
+    ejected = [
+        x for x in health.targets.values() if x.standing is Standing.EJECTED
+    ]
+    assert len(ejected) <= 1
+
+
+def test_a_relapse_stays_outside_longer():
+    health = make()
+    warm(health)
+    stays = []
+    now_s = 1.0
+    for _ in range(3):
+        while health.targets['t0'].standing is not Standing.EJECTED:
+            health.observe(outcome('t0', failed=True), now_s)
+        stays.append(health.targets['t0'].return_at_s - now_s)
+        now_s = health.targets['t0'].return_at_s
+        health.review(now_s)
+        assert health.targets['t0'].limit == 1
+    assert stays == [FIRST_STAY_S, 2 * FIRST_STAY_S, 4 * FIRST_STAY_S]
+
+
+def test_a_returning_target_gets_its_slots_back_one_by_one():
+    health = make(slots=3)
+    warm(health)
+    for _ in range(3):
+        health.observe(outcome('t0', failed=True), 1.0)
+    health.review(1.0 + FIRST_STAY_S)
+    limits = []
+    for _ in range(7):
+        limits.append(health.targets['t0'].limit)
+        health.observe(outcome('t0'), 10.0)
+    assert limits == [1, 1, 1, 2, 2, 2, 3]
+
+
+def test_a_label_takes_out_at_once_and_the_floor_keeps_the_sick_in():
+    health = make(floor=60)
+    warm(health)
+    health.label('t3', 'out', False, 1.0)
+    health.label('t4', 'draining', False, 1.0)
+    for _ in range(5):
+        health.observe(outcome('t0', failed=True), 2.0)
+    assert health.targets['t0'].standing is Standing.HELD
+    assert health.in_service_slots() >= health.floor_slots()
+
+
+class FloorMachine(RuleBasedStateMachine):
+    """Detector and operators eject in any order; the floor holds."""
+
+    def __init__(self):
+        super().__init__()
+        self.health = make(floor=60)
+        self.now_s = 0.0
+        self.by_label = set()
+
+    @rule(name=st.sampled_from(NAMES), failed=st.booleans())
+    def observe(self, name, failed):
+        self.health.observe(outcome(name, failed=failed), self.now_s)
+
+    @rule(name=st.sampled_from(NAMES))
+    def crash(self, name):
+        self.health.crashed(name, self.now_s)
+
+    @rule(
+        name=st.sampled_from(NAMES),
+        state=st.sampled_from(['serving', 'draining', 'out']),
+        leaving=st.booleans(),
+    )
+    def label(self, name, state, leaving):
+        self.health.label(name, state, leaving, self.now_s)
+        self.by_label.discard(name)
+        if state != 'serving' or leaving:
+            self.by_label.add(name)
+
+    @rule(seconds=st.sampled_from([0.1, 3.0, 10.0, 700.0]))
+    def advance(self, seconds):
+        self.now_s += seconds
+        self.health.review(self.now_s)
+
+    @invariant()
+    def detector_never_goes_below_the_floor(self):
+        slots = {x.name: x.slots for x in self.health.targets.values()}
+        labelled = sum(slots[name] for name in self.by_label)
+        possible = sum(slots.values()) - labelled
+        wanted = min(possible, self.health.floor_slots())
+        assert self.health.in_service_slots() >= wanted
+
+    @invariant()
+    def labelled_targets_take_no_work(self):
+        for name in self.by_label:
+            assert not self.health.targets[name].takes_work
+
+
+def test_the_floor_holds_under_detector_and_operators():
+    run_state_machine_as_test(
+        FloorMachine,
+        settings=settings(
+            max_examples=100,
+            stateful_step_count=50,
+            derandomize=True,
+            deadline=None,
+            database=None,
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.lists(st.tuples(st.sampled_from(NAMES), st.booleans()), max_size=80))
+def test_two_homes_with_parts_of_the_targets_keep_the_floor(events):
+    halves = [make(floor=50, count=5), make(floor=50, count=5)]
+    halves[0].configure({'t0': 2, 't1': 2, 't2': 2})
+    halves[1].configure({'t3': 2, 't4': 2})
+    for name, failed in events:
+        for half in halves:
+            half.observe(outcome(name, failed=failed), 1.0)
+    assert sum(half.in_service_slots() for half in halves) >= 5
