--- a/carawaylane/decisions/detector.py
+++ b/carawaylane/decisions/detector.py
@@ -19,7 +19,7 @@
 HEALTHY_RATE = 0.02
 MAX_HEALTHY_RATE = 0.3
 # Log-likelihood ratio at which equal weights say sick.
-BASE_THRESHOLD = 5.5
+BASE_THRESHOLD = 7.0
 MIN_THRESHOLD = 3.0
 MAX_THRESHOLD = 12.0
 CONSECUTIVE_LIMIT = 5
--- a/carawaylane/decisions/slots.py
+++ b/carawaylane/decisions/slots.py
@@ -70,6 +70,16 @@
         self.callers.setdefault(demand.caller, deque()).append(demand)
         self.length += 1
 
+    def turns_before(self, caller: str) -> int:
+        """Return how many turns pass until a new demand has had its own.
+
+        New demands of other callers go before a caller's later ones, so
+        each of its waiting demands costs a round of all callers.
+        """
+        mine = len(self.callers.get(caller, ()))
+        others = len(self.callers) - (caller in self.callers)
+        return (mine + 1) * (others + 1)
+
     def pop(self) -> Demand:
         caller, waiting = next(iter(self.callers.items()))
         demand = waiting.popleft()
@@ -237,9 +247,9 @@
         return None
 
     def _lane_wait_s(self, demand: Demand) -> float:
-        # A lane moves at its share of the slots, among lanes that wait.
+        # A lane moves at its share of the slots, among lanes that wait, and
+        # within it a caller waits for its turns.
         lane = self.lanes.get(demand.kind)
-        mine = lane.length + 1 if lane else 1
         shares = sum(
             each.share
             for kind, each in self.lanes.items()
@@ -247,7 +257,8 @@
         )
         part = demand.share / (shares + demand.share)
         rate = self.capacity() * part / self.service_time_s
-        return mine / rate + self.service_time_s
+        turns = lane.turns_before(demand.caller) if lane else 1
+        return turns / rate + self.service_time_s
 
     def _late(self) -> Shed:
         return Shed(
--- a/tests/decisions/fleet_model.py
+++ b/tests/decisions/fleet_model.py
@@ -270,6 +270,8 @@
             for name in sorted(node.fleet.members)
             if name not in (node.name, owner)
         ]
+        # Entries choose a witness that they believe alive.
+        others = [x for x in others if self.nodes[x].up] or others
         own = owner == node.name and self.flaw != NO_WITNESS
         if own or not node.joined:
             if others:
--- /dev/null
+++ b/tests/decisions/test_fault_matrix.py
@@ -0,0 +1,22 @@
+"""Every fault at every step: at most once, and "not run" is true."""
+
+import pytest
+
+from tests.decisions.fault_matrix import FAULTS, STEPS, run_cell
+
+
+@pytest.mark.parametrize('step', STEPS)
+@pytest.mark.parametrize('fault', FAULTS)
+def test_cell(fault, step):
+    cell = run_cell(fault, STEPS[step])
+    assert cell.runs <= 1
+    if cell.resend in ('Answered', 'Replay'):
+        assert cell.runs == 1
+    if 'Refuse' in (cell.first, cell.resend):
+        assert cell.runs == 0
+
+
+@pytest.mark.parametrize('fault', ['none', 'owner stops as planned'])
+@pytest.mark.parametrize('step', STEPS)
+def test_without_a_crash_a_resend_gets_the_answer(fault, step):
+    assert run_cell(fault, STEPS[step]).resend in ('Answered', 'Replay')
