--- a/carawaylane/services/node_rpc.py
+++ b/carawaylane/services/node_rpc.py
@@ -143,6 +143,8 @@
         req = unpack_request(msg)
         if msg.hop == ForwardRequest.VIA_WITNESS:
             return self._kernel.find('forwarder').forward_keyed(req)
+        if msg.hop == ForwardRequest.TO_SLOT:
+            return self._kernel.find('runner').lend(req)
         return self._kernel.find('runner').run(req)
 
     def _free_slots(self, msg: ForwardRequest) -> int:
--- a/carawaylane/services/runner.py
+++ b/carawaylane/services/runner.py
@@ -5,7 +5,7 @@
 from asyncio import CancelledError, Queue, Task, timeout
 from typing import TYPE_CHECKING, Any
 
-from attrs import define
+from attrs import define, evolve
 
 from carawaylane.decisions.budget import RetryBudget
 from carawaylane.decisions.health import Outcome as WorkOutcome
@@ -39,7 +39,8 @@
     Outcome,
     Unknown,
 )
-from carawaylane.rpc.node_pb2 import Suspicion
+from carawaylane.rpc.node_pb2 import ForwardRequest, Suspicion
+from carawaylane.services.peers import NeverSentError
 from carawaylane.services.targets import (
     Broke,
     Exchange,
@@ -68,6 +69,7 @@
 SUSPECT_TIMEOUT_S = 1.0
 # An unsafe request that a target refused moves on at most this often.
 UNSAFE_MOVES = 3
+UNSERVED = 'this node does not know the service'
 PIECES_AHEAD = 16
 DISCARD_POLL_S = 0.1
 
@@ -114,6 +116,19 @@
         async for piece in pieces:
             yield piece
 
+    async def lend(self, req: Request) -> AsyncIterator[Piece]:
+        """Yield the answer to a request whose key another shard owns.
+
+        The owner has recorded the key; here it only gets a slot.
+        """
+        home = await self._homes.home((req.service, req.shard))
+        kind = self._config.docs.get(('TrafficKind', req.kind))
+        if home is None or kind is None:
+            yield Piece(end=NotRun(reason=UNSERVED))
+            return
+        async for piece in self._run_plain(home, kind, req):
+            yield piece
+
     async def _run_plain(
         self, home: ShardHome, kind: TrafficKind, req: Request
     ) -> AsyncIterator[Piece]:
@@ -173,6 +188,8 @@
         kept = True
         try:
             tried = await self._try_all(home, kind, req)
+            if isinstance(tried.outcome, NotRun):
+                tried = await self._borrow(home, req, tried)
             if tried.opened is None:
                 outcome = tried.outcome or outcome
                 piece = _piece_of(outcome)
@@ -188,6 +205,54 @@
             home.post(SettleKey(key=req.key, outcome=outcome, kept=kept))
         await pieces.put(piece)
 
+    async def _borrow(
+        self, home: ShardHome, req: Request, refused: _Try
+    ) -> _Try:
+        """Ask the homes of the service's other shards for a slot."""
+        spec = home.service
+        if spec is None or not _may_borrow(refused.outcome):
+            return refused
+        forwarder = self.kernel.find('forwarder')
+        for number in range(spec.shards):
+            if number == req.shard:
+                continue
+            lender = forwarder.home((req.service, number), set())
+            if lender is None:
+                continue
+            found = await self._borrow_from(lender, evolve(req, shard=number))
+            if not isinstance(found.outcome, NotRun):
+                return found
+        return refused
+
+    async def _borrow_from(self, lender: str, req: Request) -> _Try:
+        if lender == self.kernel.member:
+            pieces = self.lend(req)
+        else:
+            peers = self.kernel.find('peers')
+            pieces = peers.forward(lender, req, ForwardRequest.TO_SLOT)
+        try:
+            first = await anext(pieces)
+        except NeverSentError:
+            return _Try(outcome=NotRun(reason='a lender is not reached'))
+        if first.head is None:
+            return _Try(outcome=first.end)
+        opened = Opened(
+            status=first.head.status,
+            headers=first.head.headers,
+            body=first.data,
+            rest=_rest_of(pieces),
+        )
+        if not isinstance(first.end, Answered):
+            return _Try(opened=opened)
+        return _Try(
+            outcome=Answered(
+                status=opened.status,
+                headers=opened.headers,
+                body=opened.body,
+                target=first.head.target,
+            )
+        )
+
     async def _try_all(
         self, home: ShardHome, kind: TrafficKind, req: Request
     ) -> _Try:
@@ -520,6 +585,19 @@
             continue
 
 
+async def _rest_of(pieces: AsyncIterator[Piece]) -> AsyncIterator[bytes]:
+    async for piece in pieces:
+        if piece.data:
+            yield piece.data
+        if piece.end is not None and not isinstance(piece.end, Answered):
+            raise TruncatedError('the lender lost the answer')
+
+
+def _may_borrow(outcome: Outcome | None) -> bool:
+    # A quarantined request must not run anywhere.
+    return isinstance(outcome, NotRun) and outcome.retry_after_ms > 0
+
+
 def _work(
     target: str, kind: TrafficKind, failed: bool, took_s: float
 ) -> WorkOutcome:
@@ -559,7 +637,6 @@
 
 
 def _unserved(req: Request) -> Outcome:
-    reason = 'this node does not know the service'
     if req.key:
         return Moved()
-    return NotRun(reason=reason)
+    return NotRun(reason=UNSERVED)
--- a/standins/target.py
+++ b/standins/target.py
@@ -27,13 +27,20 @@
         self.started: Counter[str] = Counter()
         self.finished: Counter[str] = Counter()
         self.arrivals: list[float] = []
+        self.parents: list[str] = []
+        self.open: set[object] = set()
+        self.silent: set[object] = set()
         self.faults: dict[str, Any] = {}
         self.cold = 0
 
     async def work(self, req: web.Request) -> web.StreamResponse:
         """Run one request under the faults in force."""
+        self.open.add(req.transport)
         body = await req.read()
+        if req.transport in self.silent:
+            await sleep(3600)
         self.arrivals.append(time())
+        self.parents.append(req.headers.get('traceparent', ''))
         refusal = self._refuse(req)
         if refusal is not None:
             return refusal
@@ -64,8 +71,12 @@
             if row.get('clear'):
                 self.faults.clear()
             self.faults.update(row.get('faults', {}))
+            if self.faults.pop('silence', False):
+                # Connections that are open now lose track of each other.
+                self.silent |= self.open
         return web.json_response(
             {
+                'parents': self.parents,
                 'name': self.name,
                 'started': dict(self.started),
                 'finished': dict(self.finished),
--- a/tests/system/conftest.py
+++ b/tests/system/conftest.py
@@ -59,7 +59,7 @@
 def target_documents(cluster):
     return '\n'.join(
         f'---\nkind: Target\nname: {name}\n'
-        f'address: 127.0.0.1:{proc.port}\n'
+        f'address: 127.0.0.1:{proc.port}\nhost: host-of-{name}\n'
         f'labels: {{app: {TARGETS[name]}}}'
         for name, proc in cluster.targets.items()
     )
--- a/tests/system/test_targets.py
+++ b/tests/system/test_targets.py
@@ -109,3 +109,47 @@
         )
         assert codes == [0] * 4
         assert await gather(*tasks) == [400_000] * 4
+
+
+async def test_a_target_that_says_it_leaves_gets_no_new_work():
+    async with fleet() as (cluster, callers):
+        proc = cluster.targets['stock-1']
+        async with load(callers):
+            await sleep(1)
+            await cluster.control(proc, faults={'leaving': True})
+            said = time()
+            await sleep(LEAVING_BOUND_S + 1)
+        row = await cluster.control(proc)
+        late = [at for at in row['arrivals'] if at > said + LEAVING_BOUND_S]
+        assert late == []
+        assert callers.account.share('lookup', 'answered') == 1
+
+
+async def test_a_target_on_a_leaving_host_gets_no_new_work():
+    async with fleet() as (cluster, callers):
+        hosts = [
+            {'name': name, 'leaving': name == 'host-of-charge-1'}
+            for name in ('n0', 'n1', 'n2', 'n3', 'host-of-charge-1')
+        ]
+        proc = cluster.targets['charge-1']
+        async with load(callers):
+            await sleep(1)
+            await cluster.control(cluster.platform, hosts=hosts)
+            listed = time()
+            await sleep(LEAVING_BOUND_S + 1)
+        row = await cluster.control(proc)
+        late = [at for at in row['arrivals'] if at > listed + LEAVING_BOUND_S]
+        assert late == []
+        assert callers.account.share('unsafe', 'answered') == 1
+
+
+async def test_connections_that_went_silent_lose_no_lookup():
+    async with fleet() as (cluster, callers):
+        async with load(callers):
+            await sleep(1)
+            for name in ('stock-1', 'charge-1'):
+                proc = cluster.targets[name]
+                await cluster.control(proc, faults={'silence': True})
+            await sleep(3)
+        assert await callers.check() == []
+        assert callers.account.share('lookup', 'answered') > 0.97
