--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 lint: $(READY)
 	$(VENV)/bin/ruff check .
 	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/mypy
 
 format: $(READY)
 	$(VENV)/bin/ruff check --fix .
--- a/bench/doubt.py
+++ b/bench/doubt.py
@@ -30,9 +30,7 @@
 def _case(case: str, rng: Random) -> dict[str, Any]:
     world = World(hosts=HOSTS)
     nodes = list(world.nodes.values())
-    world.claim(nodes[0])
-    for node in nodes:
-        world.learn(node)
+    world.claimed_by(nodes[0])
     done = [f'done{n}' for n in range(CALLS)]
     for key in done:
         world.call(key, rng.choice(nodes[1:]))
@@ -90,13 +88,8 @@
 
 
 def _take_over(world: World, heir: Any) -> None:
-    world.learn(heir)
-    world.claim(heir)
-    world.learn(heir)
-    world.ask_promises(heir)
-    for kind in ('fence', 'promised'):
-        for msg in [x for x in world.msgs if x.kind == kind]:
-            world.deliver(msg)
+    world.take_over(heir)
+    world.deliver_promises()
     world.now_ms += 2000
 
 
--- a/carawaylane/daemon.py
+++ b/carawaylane/daemon.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import sys
-from asyncio import get_running_loop, timeout
+from asyncio import Timeout, get_running_loop, timeout
 from os import environ
 from random import Random
 from signal import SIGINT, SIGTERM
@@ -66,7 +66,7 @@
 
     def __init__(self, *, kernel: Kernel) -> None:
         self._kernel = kernel
-        self._limit: timeout | None = None
+        self._limit: Timeout | None = None
         self._count = 0
 
     def asked(self) -> None:
@@ -77,7 +77,7 @@
             now_s = get_running_loop().time()
             self._limit.reschedule(now_s)
 
-    def limit(self, limit_s: float) -> timeout:
+    def limit(self, limit_s: float) -> Timeout:
         """Return the limit of the drain."""
         self._limit = timeout(limit_s)
         return self._limit
--- a/carawaylane/decisions/catalogue.py
+++ b/carawaylane/decisions/catalogue.py
@@ -86,8 +86,8 @@
     def _follow_service(
         self, name: str, doc: object, state: ConfigState
     ) -> set[str]:
-        for target in self.targets.pop(name, {}):
-            self.service_of.pop(target, None)
+        for gone in self.targets.pop(name, {}):
+            self.service_of.pop(gone, None)
         self.services.pop(name, None)
         self.selectors.remove(name)
         if isinstance(doc, Service):
--- a/carawaylane/platform/driver.py
+++ b/carawaylane/platform/driver.py
@@ -56,7 +56,7 @@
     async def delete(self, key: str) -> bool | Unavailable:
         """Remove an object."""
 
-    async def list(
+    async def list_objects(
         self, prefix: str, *, after: str
     ) -> list[Stored] | Unavailable:
         """Return objects below a prefix whose keys follow `after`."""
--- a/carawaylane/platform/http.py
+++ b/carawaylane/platform/http.py
@@ -57,7 +57,7 @@
             return found
         return found[0] == 200
 
-    async def list(
+    async def list_objects(
         self, prefix: str, *, after: str
     ) -> list[Stored] | Unavailable:
         """Return objects below a prefix whose keys follow `after`."""
--- a/carawaylane/platform/log.py
+++ b/carawaylane/platform/log.py
@@ -85,7 +85,7 @@
                 return parts
             snapshot = loads(parts)
             snapshot_seq = head.value['seq']
-        rows = await self.driver.list(
+        rows = await self.driver.list_objects(
             self._prefix, after=self._key(max(after, snapshot_seq))
         )
         if isinstance(rows, Unavailable):
@@ -162,7 +162,7 @@
         return ''.join(texts)
 
     async def _drop(self, until: int, old_head: Stored) -> None:
-        rows = await self.driver.list(self._prefix, after=self._key(0))
+        rows = await self.driver.list_objects(self._prefix, after=self._key(0))
         if isinstance(rows, Unavailable):
             return
         for row in rows:
--- a/carawaylane/rpc/codec.py
+++ b/carawaylane/rpc/codec.py
@@ -50,7 +50,7 @@
     return tuple((row.name, row.value) for row in rows)
 
 
-def pack_request(req: Request, hop: int) -> ForwardRequest:
+def pack_request(req: Request, hop: ForwardRequest.Hop) -> ForwardRequest:
     """Return a request in its wire form."""
     return ForwardRequest(
         request_id=req.request_id,
@@ -139,7 +139,7 @@
         service=shard[0],
         shard=shard[1],
         at_ms=record.at_ms,
-        state=record.state.value,
+        state=record.state.name,
     )
     if record.answer is not None:
         msg.status = record.answer.status
--- a/carawaylane/services/__init__.py
+++ b/carawaylane/services/__init__.py
@@ -14,6 +14,8 @@
     'watcher',
     'journal',
     'homes',
+    'suspects',
+    'attempts',
     'runner',
     'prober',
     'forwarder',
--- a/carawaylane/services/entry.py
+++ b/carawaylane/services/entry.py
@@ -16,7 +16,7 @@
 from carawaylane.decisions.routing import request_labels
 from carawaylane.decisions.tenure import mint
 from carawaylane.kernel.service import Service, service
-from carawaylane.messages.exchange import Piece, Request
+from carawaylane.messages.exchange import Head, Piece, Request
 from carawaylane.messages.outcomes import (
     Answered,
     Failed,
@@ -29,7 +29,7 @@
 from carawaylane.telemetry.traces import PARENT_HEADER, parent_of
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncGenerator
 
     from carawaylane.config.schema import TrafficKind
     from carawaylane.kernel.kernel import Kernel
@@ -274,7 +274,7 @@
         http: web.Request,
         kind: TrafficKind,
         req: Request,
-        pieces: AsyncIterator[Piece],
+        pieces: AsyncGenerator[Piece, None],
     ) -> web.StreamResponse:
         """Hold a small answer until it is whole; stream a large one."""
         held = bytearray()
@@ -312,7 +312,7 @@
         self,
         kind: TrafficKind,
         req: Request,
-        head: object,
+        head: Head | None,
         body: bytes,
         end: Outcome,
     ) -> web.Response:
--- a/carawaylane/services/forwarder.py
+++ b/carawaylane/services/forwarder.py
@@ -30,7 +30,7 @@
 from carawaylane.services.peers import NODE_LOST, NeverSentError
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncGenerator
 
     from carawaylane.config.schema import Service as ServiceSpec
     from carawaylane.decisions.fleet import Holding, ShardId
@@ -69,7 +69,7 @@
 
     async def forward(
         self, req: Request, *, unsafe: bool
-    ) -> AsyncIterator[Piece]:
+    ) -> AsyncGenerator[Piece, None]:
         """Yield the answer to a request that this entry accepted."""
         spec = self._catalogue.state.services.get(req.service)
         if spec is None:
@@ -93,7 +93,7 @@
 
     async def _forward_plain(
         self, spec: ServiceSpec, req: Request, unsafe: bool
-    ) -> AsyncIterator[Piece]:
+    ) -> AsyncGenerator[Piece, None]:
         lost: set[str] = set()
         shed: set[int] = set()
         last: Piece = Piece(end=NotRun(reason='no node is home of the shard'))
@@ -129,7 +129,9 @@
                 lost.add(home)
         yield last
 
-    async def _send(self, home: str, req: Request) -> AsyncIterator[Piece]:
+    async def _send(
+        self, home: str, req: Request
+    ) -> AsyncGenerator[Piece, None]:
         if home == self.kernel.member:
             pieces = self._runner.run(req)
         else:
@@ -155,7 +157,7 @@
                 free_slots=piece.free_slots, stamp_ms=self.kernel.now_ms()
             )
 
-    async def forward_keyed(self, req: Request) -> AsyncIterator[Piece]:
+    async def forward_keyed(self, req: Request) -> AsyncGenerator[Piece, None]:
         """Yield the answer to a keyed request, which this node journals."""
         spec = self._catalogue.state.services.get(req.service)
         number = shard_of_key(spec, req.key) if spec else None
@@ -204,7 +206,7 @@
 
     async def _keyed_once(
         self, shard: ShardId, req: Request, young: bool
-    ) -> AsyncIterator[Piece]:
+    ) -> AsyncGenerator[Piece, None]:
         held = self._homes.holding(shard)
         if held is None:
             yield Piece(end=Moved())
@@ -225,7 +227,7 @@
 
     async def _via_witness(
         self, owner: str, req: Request
-    ) -> AsyncIterator[Piece]:
+    ) -> AsyncGenerator[Piece, None]:
         """Let another member journal a key that is owned here."""
         if req.entry:
             # The request came from another entry already.
@@ -251,7 +253,7 @@
 
     async def _journalled(
         self, shard: ShardId, owner: str, req: Request
-    ) -> AsyncIterator[Piece]:
+    ) -> AsyncGenerator[Piece, None]:
         note = Note(shard=shard, epoch=req.epoch, owner=owner, key=req.key)
         if not await self._journal.ask(note):
             yield Piece(end=Moved())
--- a/carawaylane/services/node_rpc.py
+++ b/carawaylane/services/node_rpc.py
@@ -24,7 +24,7 @@
 from carawaylane.services.relay import pack_batch, unpack_batch
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncGenerator
 
     from carawaylane.kernel.kernel import Kernel
     from carawaylane.messages.exchange import Piece
@@ -121,8 +121,8 @@
     async def Suspect(self, stream: Any) -> None:  # noqa: N802
         """Learn of a request under which a target died."""
         _, msg = await self._receive(stream)
-        runner = self._kernel.find('runner')
-        runner.suspect(msg.digest, msg.target, msg.unsafe)
+        suspects = self._kernel.find('suspects')
+        suspects.suspect(msg.digest, msg.target, msg.unsafe)
         await self._send(stream, Empty())
 
     async def _receive(self, stream: Any) -> tuple[str, Any]:
@@ -139,7 +139,7 @@
         if self._peers.is_cut_to(source):
             await sleep(3600)
 
-    def _pieces(self, msg: ForwardRequest) -> AsyncIterator[Piece]:
+    def _pieces(self, msg: ForwardRequest) -> AsyncGenerator[Piece, None]:
         req = unpack_request(msg)
         if msg.hop == ForwardRequest.VIA_WITNESS:
             return self._kernel.find('forwarder').forward_keyed(req)
--- a/carawaylane/services/peers.py
+++ b/carawaylane/services/peers.py
@@ -4,10 +4,10 @@
 
 from asyncio import TimeoutError as AsyncTimeoutError
 from asyncio import get_running_loop, sleep, timeout
-from collections import Counter
 from contextlib import aclosing
 from typing import TYPE_CHECKING, Any
 
+from attrs import define
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
@@ -16,11 +16,11 @@
 from carawaylane.messages.outcomes import Failed, Unknown
 from carawaylane.rpc.codec import pack_request, unpack_piece
 from carawaylane.rpc.node_grpc import NodeStub
-from carawaylane.rpc.node_pb2 import PingRequest
+from carawaylane.rpc.node_pb2 import ForwardRequest, PingRequest
 from carawaylane.telemetry.events import RPC_FAILED, emit
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncGenerator
 
     from google.protobuf.message import Message
 
@@ -46,23 +46,31 @@
     """The call did not leave this node."""
 
 
+@define(kw_only=True, eq=False)
+class _Link:
+    """A connection to a peer and the forwards that are open on it."""
+
+    channel: Channel
+    stub: NodeStub
+    open: int = 0
+
+
 @service('peers')
 class Peers(Service):
     """Owns one connection to each peer that it talks to."""
 
     def __init__(self, *, kernel: Kernel) -> None:
         super().__init__(kernel=kernel)
-        self._channels: dict[str, Channel] = {}
-        self._busy: Counter[Channel] = Counter()
+        self._links: dict[str, _Link] = {}
         self.cut_to: set[str] = set()
         self.cut_from: set[str] = set()
 
     async def stop(self) -> None:
         """Close the connections."""
         await super().stop()
-        for channel in self._channels.values():
-            channel.close()
-        self._channels.clear()
+        for link in self._links.values():
+            link.channel.close()
+        self._links.clear()
 
     def address_of(self, member: str) -> str:
         """Return the rpc address of a member, or an address as it is."""
@@ -85,23 +93,21 @@
 
         Work on the old one goes on, unless it turns out to be silent.
         """
-        channel = self._channels.pop(self.address_of(member), None)
-        if channel is not None:
-            self.spawn(self._watch_retired(member, channel))
+        link = self._links.pop(self.address_of(member), None)
+        if link is not None:
+            self.spawn(self._watch_retired(member, link))
 
-    async def _watch_retired(self, member: str, channel: Channel) -> None:
+    async def _watch_retired(self, member: str, link: _Link) -> None:
         ping = PingRequest(source=self.kernel.member, target=member)
-        while channel in self._busy:
+        while link.open:
             try:
                 async with timeout(SILENT_AFTER_S):
                     await self._pass_cut(member)
-                    await NodeStub(channel).Ping(
-                        ping, metadata=self._metadata()
-                    )
+                    await link.stub.Ping(ping, metadata=self._metadata())
             except RPC_ERRORS:
                 break
             await sleep(SILENT_AFTER_S)
-        channel.close()
+        link.channel.close()
 
     async def call(
         self, member: str, method: str, msg: Message, timeout_s: float
@@ -110,9 +116,8 @@
         try:
             async with timeout(timeout_s):
                 await self._pass_cut(member)
-                channel = await self._channel(member)
-                stub = NodeStub(channel)
-                return await getattr(stub, method)(
+                link = await self._link(member)
+                return await getattr(link.stub, method)(
                     msg, timeout=timeout_s, metadata=self._metadata()
                 )
         except (*RPC_ERRORS, NeverSentError) as exc:
@@ -125,20 +130,20 @@
             return None
 
     async def forward(
-        self, member: str, req: Request, hop: int
-    ) -> AsyncIterator[Piece]:
+        self, member: str, req: Request, hop: ForwardRequest.Hop
+    ) -> AsyncGenerator[Piece, None]:
         """Yield the pieces of an answer from a member.
 
         Raises NeverSentError if the request did not leave this node.
         """
-        channel = await self._open(member)
+        link = await self._open(member)
         left_s = (req.deadline_ms - self.kernel.now_ms()) / 1000 + GRACE_S
         left_s = max(0.01, left_s)
         ended = False
         try:
             async with (
                 timeout(left_s) as limit,
-                aclosing(self._pieces(channel, member, req, hop)) as pieces,
+                aclosing(self._pieces(link, member, req, hop)) as pieces,
             ):
                 async for piece in pieces:
                     ended = piece.end is not None
@@ -158,14 +163,19 @@
             yield Piece(end=_lost(req))
 
     async def _pieces(
-        self, channel: Channel, member: str, req: Request, hop: int
-    ) -> AsyncIterator[Piece]:
+        self,
+        link: _Link,
+        member: str,
+        req: Request,
+        hop: ForwardRequest.Hop,
+    ) -> AsyncGenerator[Piece, None]:
         await self._pass_cut(member)
-        stub = NodeStub(channel)
-        self._busy[channel] += 1
+        link.open += 1
         last: Piece | None = None
         try:
-            async with stub.Forward.open(metadata=self._metadata()) as stream:
+            async with link.stub.Forward.open(
+                metadata=self._metadata()
+            ) as stream:
                 await stream.send_message(pack_request(req, hop), end=True)
                 async for chunk in stream:
                     piece = unpack_piece(chunk)
@@ -177,31 +187,30 @@
             if last is None:
                 raise
         finally:
-            self._busy[channel] -= 1
-            if not self._busy[channel]:
-                del self._busy[channel]
+            link.open -= 1
         # Given on after the stream is closed in order, not reset.
         if last is not None:
             yield last
 
-    async def _open(self, member: str) -> Channel:
+    async def _open(self, member: str) -> _Link:
         try:
             async with timeout(CONNECT_TIMEOUT_S):
-                return await self._channel(member)
+                return await self._link(member)
         except (TimeoutError, OSError) as exc:
             raise NeverSentError(member) from exc
 
-    async def _channel(self, member: str) -> Channel:
+    async def _link(self, member: str) -> _Link:
         address = self.address_of(member)
         if not address:
             raise NeverSentError(member)
-        channel = self._channels.get(address)
-        if channel is None:
+        link = self._links.get(address)
+        if link is None:
             host, _, port = address.rpartition(':')
             channel = Channel(host, int(port))
-            self._channels[address] = channel
-        await channel.__connect__()
-        return channel
+            link = _Link(channel=channel, stub=NodeStub(channel))
+            self._links[address] = link
+        await link.channel.__connect__()
+        return link
 
     async def _pass_cut(self, member: str) -> None:
         if self.is_cut_to(member):
--- a/carawaylane/telemetry/events.py
+++ b/carawaylane/telemetry/events.py
@@ -8,6 +8,7 @@
 
 from absl import logging
 from absl.flags import FLAGS
+from absl.logging import converter
 from attrs import frozen
 
 
@@ -117,7 +118,7 @@
     """Log an event with its fields."""
     text = ' '.join(f'{key}={value}' for key, value in fields.items())
     logging.get_absl_logger().log(
-        logging.converter.absl_to_standard(event.level),
+        converter.absl_to_standard(event.level),
         'CL%d %s %s',
         event.number,
         event.name,
--- a/tests/decisions/fault_matrix.py
+++ b/tests/decisions/fault_matrix.py
@@ -39,9 +39,7 @@
     """Run one cell; the model asserts that the promises hold."""
     world = World(hosts=5)
     owner, entry, heir, other, _ = world.nodes.values()
-    world.claim(owner)
-    for node in world.nodes.values():
-        world.learn(node)
+    world.claimed_by(owner)
     if step:
         world.call(KEY, entry)
         world.advance_call(KEY, step - 1, 'Answered')
@@ -79,14 +77,8 @@
 
 
 def _take_over(world, heir, skip=()):
-    world.learn(heir)
-    world.claim(heir)
-    world.learn(heir)
-    world.ask_promises(heir)
-    for kind in ('fence', 'promised'):
-        for msg in [x for x in world.msgs if x.kind == kind]:
-            if msg.dst not in skip:
-                world.deliver(msg)
+    world.take_over(heir)
+    world.deliver_promises(skip)
     for node in world.nodes.values():
         if node.up and node.name not in skip:
             world.learn(node)
@@ -125,10 +117,7 @@
 def _older_view(world, owner, entry, heir):
     owner.paused = True
     _take_over(world, heir, skip=(entry.name, owner.name))
-    for kind in ('fence', 'promised'):
-        for msg in [x for x in world.msgs if x.kind == kind]:
-            if msg.dst != owner.name:
-                world.deliver(msg)
+    world.deliver_promises((owner.name,))
 
 
 @fault('entry and owner killed')
@@ -162,9 +151,7 @@
     world.platform_up = False
     world.kill(owner)
     world.stand_in(heir)
-    for kind in ('fence', 'promised'):
-        for msg in [x for x in world.msgs if x.kind == kind]:
-            world.deliver(msg)
+    world.deliver_promises()
     for node in world.nodes.values():
         node.hint = (heir.name, heir.tenure.epoch)
 
--- a/tests/decisions/fleet_model.py
+++ b/tests/decisions/fleet_model.py
@@ -303,6 +303,26 @@
         self.msgs.remove(msg)
         getattr(self, 'on_' + msg.kind)(node, *msg.args)
 
+    def deliver_promises(self, skip=()):
+        """Deliver what successors ask and what they are promised."""
+        for kind in ('fence', 'promised'):
+            for msg in [x for x in self.msgs if x.kind == kind]:
+                if msg.dst not in skip:
+                    self.deliver(msg)
+
+    def claimed_by(self, owner):
+        """Let a node own the shard and all know it."""
+        self.claim(owner)
+        for node in self.nodes.values():
+            self.learn(node)
+
+    def take_over(self, heir):
+        """Let a node claim the shard and ask for promises."""
+        self.learn(heir)
+        self.claim(heir)
+        self.learn(heir)
+        self.ask_promises(heir)
+
     # Callers and entries.
 
     def call(self, key, node):
--- a/tests/decisions/test_at_most_once.py
+++ b/tests/decisions/test_at_most_once.py
@@ -19,9 +19,14 @@
     NO_WITNESS,
     SHARD,
     TAKEOVER_BY_TIMEOUT,
-    WINDOW_MS,
     World,
 )
+from tests.decisions.scenarios import (
+    entry_unknown_to_the_standby,
+    evict_while_paused,
+    refusal_told_late,
+    take_over_from_paused_owner,
+)
 
 PICK = st.integers(min_value=0, max_value=1_000_000)
 KEYS = 4
@@ -36,9 +41,7 @@
     def begin(self):
         self.world = World(flaw=self.flaw)
         first = next(iter(self.world.nodes.values()))
-        self.world.claim(first)
-        for node in self.world.nodes.values():
-            self.world.learn(node)
+        self.world.claimed_by(first)
         self.minted = []
 
     def nodes(self, *, up=True):
@@ -200,18 +203,13 @@
             self.take_over_by(node)
 
     def take_over_by(self, node):
-        self.world.learn(node)
-        self.world.claim(node)
-        self.world.learn(node)
-        self.world.ask_promises(node)
+        self.world.take_over(node)
 
     @rule(number=PICK)
     def take_over_whole(self, number):
         """A takeover in which every live member promises at once."""
         self.take_over(number)
-        for kind in ('fence', 'promised'):
-            for msg in [x for x in self.world.msgs if x.kind == kind]:
-                self.world.deliver(msg)
+        self.world.deliver_promises()
 
     @rule(
         number=PICK,
@@ -233,10 +231,7 @@
             return
         self.world.platform_up = True
         self.take_over_by(heir)
-        for kind in ('fence', 'promised'):
-            for msg in [x for x in self.world.msgs if x.kind == kind]:
-                if msg.dst != owner.name:
-                    self.world.deliver(msg)
+        self.world.deliver_promises((owner.name,))
         if learn:
             self.learn_all(0)
 
@@ -267,10 +262,7 @@
         if how == 'pause':
             owner.paused = True
         self.world.stand_in(standby)
-        for kind in ('fence', 'promised'):
-            for msg in [x for x in self.world.msgs if x.kind == kind]:
-                if msg.dst != owner.name:
-                    self.world.deliver(msg)
+        self.world.deliver_promises((owner.name,))
         if standby.tenure.holds():
             self.announce(standby, owner)
 
@@ -364,61 +356,6 @@
         )
 
 
-def evict_while_paused(*, dead):
-    """Two nodes live on apart from the fleet, one of them evicted."""
-    world = World(hosts=4)
-    owner, entry, heir, other = world.nodes.values()
-    world.claim(owner)
-    for node in world.nodes.values():
-        world.learn(node)
-    owner.paused = entry.paused = True
-    if dead:
-        world.kill(entry)
-    world.evict(entry)
-    world.learn(heir)
-    world.claim(heir)
-    world.learn(heir)
-    world.ask_promises(heir)
-    for msg in list(world.msgs):
-        world.deliver(msg)
-    for msg in list(world.msgs):
-        world.deliver(msg)
-    owner.paused = entry.paused = False
-    world.msgs = [x for x in world.msgs if x.dst == 'nobody']
-    world.now_ms += WINDOW_MS // 2
-    if entry.alive:
-        world.call('key', entry)
-        world.advance_call('key', 2, 'Answered')
-    world.now_ms += WINDOW_MS // 2 + 1
-    world.learn(other)
-    world.call('key', other)
-    world.advance_call('key', 4, 'Answered')
-    return world
-
-
-def take_over_from_paused_owner(*, flaw):
-    """The owner sleeps through a takeover; an entry has an old view."""
-    world = World(flaw=flaw)
-    owner, entry, heir = world.nodes.values()
-    world.claim(owner)
-    for node in world.nodes.values():
-        world.learn(node)
-    owner.paused = True
-    world.claim(heir)
-    world.learn(heir)
-    world.ask_promises(heir)
-    for kind in ('fence', 'promised'):
-        for msg in [x for x in world.msgs if x.kind == kind]:
-            world.deliver(msg)
-    owner.paused = False
-    world.call('key', entry)
-    world.advance_call('key', 4, 'Answered')
-    world.learn(entry)
-    world.call('key', entry)
-    world.advance_call('key', 4, 'Answered')
-    return world
-
-
 def test_a_promise_that_is_not_kept_would_run_a_key_twice():
     with pytest.raises(AssertionError, match='ran twice'):
         take_over_from_paused_owner(flaw=NO_FENCE)
@@ -437,24 +374,6 @@
     assert evict_while_paused(dead=True).runs == {'key': 1}
 
 
-def refusal_told_late(*, flaw):
-    """A refusal is under way while a later attempt runs."""
-    world = World(flaw=flaw)
-    owner, entry, other = world.nodes.values()
-    world.claim(owner)
-    for node in world.nodes.values():
-        world.learn(node)
-    world.call('key', entry)
-    world.advance_call('key', 2, 'Refuse')
-    refusal = world.msgs.pop()
-    world.now_ms += 300
-    world.call('key', other)
-    world.advance_call('key', 4, 'Answered')
-    world.msgs.append(refusal)
-    world.deliver(refusal)
-    return world
-
-
 def test_a_refusal_told_however_late_would_be_false():
     with pytest.raises(AssertionError, match='"not run" was told'):
         refusal_told_late(flaw=LATE_REFUSAL)
@@ -465,32 +384,6 @@
     assert world.told[-1] == ('key', 'Unknown')
 
 
-def entry_unknown_to_the_standby(*, flaw):
-    """An entry joins that the standby does not hear of."""
-    world = World(hosts=3, flaw=flaw)
-    owner, standby, other = world.nodes.values()
-    world.claim(owner)
-    for node in world.nodes.values():
-        world.learn(node)
-    world.name_standby(owner, standby)
-    for node in world.nodes.values():
-        world.learn(node)
-    late = world.start('late')
-    world.learn(owner)
-    owner.paused = True
-    world.stand_in(standby)
-    for kind in ('fence', 'promised'):
-        for msg in [x for x in world.msgs if x.kind == kind]:
-            world.deliver(msg)
-    other.hint = (standby.name, standby.tenure.epoch)
-    owner.paused = False
-    world.call('key', late)
-    world.advance_call('key', 4, 'Answered')
-    world.call('key', other)
-    world.advance_call('key', 4, 'Answered')
-    return world
-
-
 def test_an_entry_unknown_to_the_standby_would_run_a_key_twice():
     with pytest.raises(AssertionError, match='ran twice'):
         entry_unknown_to_the_standby(flaw=ANY_ENTRY)
@@ -505,9 +398,7 @@
 def test_the_model_serves_when_nothing_fails():
     world = World()
     first, second, _ = world.nodes.values()
-    world.claim(first)
-    for node in world.nodes.values():
-        world.learn(node)
+    world.claimed_by(first)
     world.call('key', second)
     world.deliver(world.msgs[0])
     job = first.jobs[0]
