--- a/carawaylane/services/homes.py
+++ b/carawaylane/services/homes.py
@@ -121,23 +121,29 @@
         if spec is None or shard[1] >= spec.shards:
             return None
         made = ShardHome(kernel=self.kernel, shard=shard)
+        fence = self.kernel.find('journal').state.fences.get(shard)
+        if fence is not None and fence.successor != self.kernel.member:
+            made.tenure.retire(owner=fence.successor, epoch=fence.epoch)
         self.shards[shard] = made
         await made.start()
         self._configure(made)
         return made
 
     async def fence(self, shard: ShardId, fence: Fence) -> Promise:
-        """Return this node's promise to a successor, as entry and owner."""
-        home = self.shards.get(shard)
-        owned = Promise(promised=True)
-        if home is not None and fence.successor != self.kernel.member:
-            owned = await home.ask(
-                FenceOwner(epoch=fence.epoch, successor=fence.successor)
-            )
-            if not owned.promised:
-                return owned
+        """Return this node's promise to a successor, as entry and owner.
+
+        The journal promises first: a home that is made later begins with
+        what was promised, and one that stands by then is asked.
+        """
         journal = self.kernel.find('journal')
         mine = await journal.ask(AskPromise(shard=shard, fence=fence))
+        home = self.shards.get(shard)
+        own = fence.successor == self.kernel.member
+        if home is None or own or not mine.promised:
+            return mine
+        owned = await home.ask(
+            FenceOwner(epoch=fence.epoch, successor=fence.successor)
+        )
         return join_promises(mine, owned)
 
     async def inherit(
