Cancelled attempts are forgotten; a late request blames no target

(1) A cancelled attempt stayed noted as under way on its target for good: memory grew, and its body could be held as poisonous when the target died later.

--- a/carawaylane/services/attempts.py
+++ b/carawaylane/services/attempts.py
@@ -162,7 +162,8 @@
             span.end()
             if not isinstance(found, Opened):
                 self._give_back(home, kind, ticket, target, began_s, found)
-            if found is not None and not isinstance(found, Broke):
+            # After a break it stays until it is known what died.
+            if not isinstance(found, Broke):
                 self._suspects.forget(target, req)
         if isinstance(found, Broke):
             return await self._after_break(home, kind, req, target, found)
@@ -179,10 +180,10 @@
         spec = home.service
         known = home.targets.get(target)
         if known is None or spec is None:
-            return NeverSent(reason='the target was removed')
+            return Refused(leaving=False, late=False)
         left_s = self._left_s(req)
         if left_s <= 0:
-            return NeverSent(reason='the deadline passed')
+            return Refused(leaving=False, late=True)
         rules = ExchangeRules(
             timeout_s=left_s * TRY_SHARE if more else left_s,
             idle_s=kind.timeout_ms / 1000,
@@ -262,7 +263,8 @@
             case Refused():
                 if found.leaving:
                     home.post(SaidLeaving(target=target))
-                outcome = NotRun(reason='the target refused it')
+                reason = 'the deadline passed' if found.late else 'refused'
+                outcome = NotRun(reason=reason)
                 again = not found.late
                 return Attempt(outcome=outcome, again=again, costs=False)
             case NeverSent():
--- a/carawaylane/services/suspects.py
+++ b/carawaylane/services/suspects.py
@@ -35,6 +35,10 @@
         self._metrics = self.kernel.find('telemetry').metrics
         self._config = self.kernel.find('relay').config
 
+    def under_way(self, target: str) -> list[str]:
+        """Return the ids of the requests that a target runs."""
+        return list(self._under_way.get(target, {}))
+
     def begin(self, target: str, req: Request) -> None:
         """Note that a target runs a request."""
         self._under_way.setdefault(target, {})[req.request_id] = req
--- a/carawaylane/services/targets.py
+++ b/carawaylane/services/targets.py
@@ -80,7 +80,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Refused:
-    """The target says itself that it did not run the request."""
+    """It did not run, and that says nothing bad about the target."""
 
     leaving: bool
     late: bool
