An entry's refusal of a keyed request does not say 'not run'

Limits of the entry said 'unknown' already. Change: one place decides it for all refusals of the entry. Before: a charge that ran, asked again with a malformed timeout header, was told 'not run'. After: 'unknown' (tests/system/test_callers.py).

--- a/carawaylane/services/entry.py
+++ b/carawaylane/services/entry.py
@@ -185,9 +185,7 @@
     def _over_limits(
         self, kind: TrafficKind, caller: str, req: web.Request
     ) -> Refusal | None:
-        # An earlier attempt under the same key may have run.
-        keyed = kind.unsafe and KEY_HEADER in req.headers
-        outcome = 'unknown' if keyed else 'not-run'
+        outcome = _outcome_of_refusal(kind, req)
         if self._in_flight >= self.kernel.cfg.max_in_flight:
             return Refusal(
                 status=503,
@@ -211,7 +209,8 @@
     ) -> web.StreamResponse:
         made = await self._request(http, kind, caller)
         if isinstance(made, Refusal):
-            return self._refuse(made, kind)
+            outcome = _outcome_of_refusal(kind, http)
+            return self._refuse(evolve(made, outcome=outcome), kind)
         span = self._traces.start('entry', http.headers.get(PARENT_HEADER, ''))
         try:
             with_span = evolve(made, trace_parent=parent_of(span))
@@ -229,7 +228,7 @@
             reason = f'{TIMEOUT_HEADER} is not a positive whole number'
             return Refusal(status=400, reason=reason)
         key = http.headers.get(KEY_HEADER, '') if kind.unsafe else ''
-        if len(key) > MAX_KEY_CHARS or not key.isprintable():
+        if not _usable(key):
             reason = f'{KEY_HEADER} is longer than {MAX_KEY_CHARS} characters'
             return Refusal(status=400, reason=reason)
         body = await self._body(http)
@@ -359,6 +358,20 @@
         )
 
 
+def _usable(key: str) -> bool:
+    return len(key) <= MAX_KEY_CHARS and key.isprintable()
+
+
+def _outcome_of_refusal(kind: TrafficKind, http: web.Request) -> str:
+    """Return what a refusal by the entry says of the caller's request.
+
+    An earlier attempt under the same key may have run.
+    """
+    key = http.headers.get(KEY_HEADER, '')
+    keyed = kind.unsafe and key != '' and _usable(key)
+    return 'unknown' if keyed else 'not-run'
+
+
 def _refusal_of(end: Outcome) -> Refusal:
     match end:
         case NotRun():
--- a/tests/system/test_callers.py
+++ b/tests/system/test_callers.py
@@ -36,6 +36,13 @@
                 'application/problem+json'
             )
         assert await cluster.runs() == {}
+        _, headers, _ = await ask(
+            callers,
+            'POST',
+            '/charges',
+            headers={'Idempotency-Key': 'k', 'X-Timeout-Ms': 'soon'},
+        )
+        assert headers['Carawaylane-Outcome'] == 'unknown'
 
 
 async def test_resends_that_race_through_all_nodes_run_once():
