A promise counts for the epoch it was given for

Cause: read again as a newcomer: the reply of a member to a successor was counted for whatever epoch the successor was at when it came. Replaced and back within half a second, it would have counted promises that do not bind entries towards the owner in between. Before: no comparison in services/shard.py.

--- a/carawaylane/messages/home.py
+++ b/carawaylane/messages/home.py
@@ -125,9 +125,10 @@
 
 @frozen(kw_only=True)
 class Promised:
-    """A member promised to forward nothing older."""
+    """A member promised to forward nothing older than an epoch."""
 
     member: str
+    epoch: int
     promise: Promise
 
 
--- a/carawaylane/services/homes.py
+++ b/carawaylane/services/homes.py
@@ -222,13 +222,20 @@
     async def _ask_promise(
         self, home: ShardHome, member: str, fence: Fence, limit: Semaphore
     ) -> None:
+        promise = await self._promise_of(home.shard, member, fence, limit)
+        if promise is not None:
+            await home.ask(
+                Promised(member=member, epoch=fence.epoch, promise=promise)
+            )
+
+    async def _promise_of(
+        self, shard: ShardId, member: str, fence: Fence, limit: Semaphore
+    ) -> Promise | None:
         if member == self.kernel.member:
-            promise = await self.fence(home.shard, fence)
-            await home.ask(Promised(member=member, promise=promise))
-            return
+            return await self.fence(shard, fence)
         msg = FenceRequest(
-            service=home.shard[0],
-            shard=home.shard[1],
+            service=shard[0],
+            shard=shard[1],
             epoch=fence.epoch,
             successor=fence.successor,
         )
@@ -236,9 +243,7 @@
             reply = await self._peers.call(
                 member, 'Fence', msg, FENCE_TIMEOUT_S
             )
-        if reply is not None:
-            promise = unpack_promise(reply)
-            await home.ask(Promised(member=member, promise=promise))
+        return unpack_promise(reply) if reply is not None else None
 
     async def _review_loop(self) -> None:
         seen_down: set[str] = set()
--- a/carawaylane/services/shard.py
+++ b/carawaylane/services/shard.py
@@ -316,7 +316,9 @@
 
     @handles(Promised)
     def _promised(self, msg: Promised) -> None:
-        self.tenure.promised(msg.member, msg.promise)
+        # A promise for an epoch that is over says nothing about this one.
+        if msg.epoch == self.tenure.epoch:
+            self.tenure.promised(msg.member, msg.promise)
         self._retry_admissions()
 
     @handles(FenceOwner)
--- a/tests/services/test_homes.py
+++ b/tests/services/test_homes.py
@@ -2,8 +2,8 @@
 
 from carawaylane.decisions.changelog import Change
 from carawaylane.decisions.fleet import EPOCH_STEP
-from carawaylane.decisions.journal import Fence
-from carawaylane.messages.home import StandIn
+from carawaylane.decisions.journal import Fence, Promise
+from carawaylane.messages.home import Promised, StandIn
 
 SHARD = ('s', 0)
 
@@ -48,3 +48,16 @@
     assert promise.promised
     home = await homes.home(SHARD)
     assert await home.ask(StandIn(fleet=fleet)) is False
+
+
+async def test_a_promise_for_an_epoch_that_is_over_does_not_count(kernel):
+    fleet = with_standby(kernel)
+    home = await kernel.find('homes').home(SHARD)
+    await home.ask(StandIn(fleet=fleet))
+    epoch = home.tenure.epoch
+    for number, left in ((epoch - 1, {kernel.member}), (epoch, set())):
+        promise = Promise(promised=True)
+        await home.ask(
+            Promised(member=kernel.member, epoch=number, promise=promise)
+        )
+        assert home.tenure.waiting == left
