Errors of the HTTP/2 layer are failed calls, not broken invariants

Cause: read again: a call to a peer that ends in an error of the layer below the gRPC library (a closed stream, a protocol error) would have stopped the node as a broken invariant. None was seen in any log of the test runs. Change: they count as a lost call, which is unknown for a keyed request. After: tests of killed owner and cut links, 3 passed.

--- a/carawaylane/services/peers.py
+++ b/carawaylane/services/peers.py
@@ -9,7 +9,12 @@
 
 from attrs import define
 from grpclib.client import Channel
-from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.exceptions import (
+    GRPCError,
+    ProtocolError,
+    StreamTerminatedError,
+)
+from h2.exceptions import H2Error
 
 from carawaylane.kernel.service import Service, service
 from carawaylane.messages.exchange import Piece, Request
@@ -36,6 +41,8 @@
 RPC_ERRORS = (
     OSError,
     GRPCError,
+    H2Error,
+    ProtocolError,
     StreamTerminatedError,
     AsyncTimeoutError,
     ValueError,
