An unknown detector is refused instead of stopping nodes

Cause: read again: a service could name a detector that does not exist; the check let it through, and the home of each of its shards would have stopped on it as a broken invariant.

--- a/carawaylane/config/schema.py
+++ b/carawaylane/config/schema.py
@@ -7,6 +7,7 @@
 
 from attrs import Factory, frozen
 
+from carawaylane.decisions.detector import detector_names
 from carawaylane.decisions.selector import SelectorError, parse_selector
 
 MAX_SHARDS = 64
@@ -56,6 +57,9 @@
         found += _range(
             'probe_interval_ms', self.probe_interval_ms, 100, 600_000
         )
+        if self.detector not in detector_names():
+            known = ', '.join(detector_names())
+            found.append(f'detector {self.detector!r} is none of {known}')
         if '.' in self.name:
             found.append('name must not contain a dot')
         return found + self.weights.problems()
--- a/tests/config/test_documents.py
+++ b/tests/config/test_documents.py
@@ -35,6 +35,7 @@
         ('kind: Service\nname: s', 'selector missing'),
         (SERVICE + 'colour: red', 'colour'),
         (SERVICE + 'shards: many', 'shards'),
+        (SERVICE + 'detector: guess', 'none of consecutive, cusum'),
         (SERVICE + 'shards: 0', 'shards must be from 1'),
         (SERVICE + 'weights: {detection: -1}', 'weights must be positive'),
         ('kind: Service\nname: s\nselector: "a=1,"', 'comma'),
