--- a/carawaylane/services/peers.py
+++ b/carawaylane/services/peers.py
@@ -204,6 +204,7 @@
             async with timeout(CONNECT_TIMEOUT_S):
                 return await self._link(member)
         except (TimeoutError, OSError) as exc:
+            self.kernel.find('membership').check_soon(member)
             raise NeverSentError(member) from exc
 
     async def _link(self, member: str) -> _Link:
