--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -91,13 +91,6 @@
         await self.until(lambda: self.get(f'{proc.url}/control'))
         return proc
 
-    async def restart_target(self, name: str) -> None:
-        """Start a target again that has died."""
-        old = self.targets[name]
-        proc = await self._start(name, old.argv, old.port)
-        self.targets[name] = proc
-        await self.until(lambda: self.get(f'{proc.url}/control'))
-
     async def add_node(self, name: str, data_centre: str, *flags: str) -> Proc:
         """Start a node and wait until it is ready."""
         port, rpc, admin = free_port(), free_port(), free_port()
--- a/carawaylane/decisions/fleet.py
+++ b/carawaylane/decisions/fleet.py
@@ -58,11 +58,6 @@
     seq: int
 
 
-def shard_key(shard: ShardId) -> str:
-    """Return the text form of a shard's identity."""
-    return f'{shard[0]}/{shard[1]}'
-
-
 _OPERATIONS: dict[str, Callable[[FleetState, dict[str, Any], int], None]] = {}
 
 
--- a/carawaylane/decisions/poison.py
+++ b/carawaylane/decisions/poison.py
@@ -48,10 +48,6 @@
             self.suspects.popitem(last=False)
         return len(suspect.victims) >= self.max_victims
 
-    def cleared(self, digest: str) -> None:
-        """Forget a request that a target survived."""
-        self.suspects.pop(digest, None)
-
     def _expire(self, now_ms: int) -> None:
         while self.suspects:
             digest, suspect = next(iter(self.suspects.items()))
--- a/carawaylane/kernel/service.py
+++ b/carawaylane/kernel/service.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from asyncio import CancelledError, Future, Task, create_task, gather
+from asyncio import Future, Task, create_task, gather
 from typing import TYPE_CHECKING, Any, ClassVar, TypeVar
 
 from carawaylane.kernel.mailbox import Mailbox
@@ -132,14 +132,3 @@
 def _copy(done: Future[Any], reply: Future[Any]) -> None:
     if not reply.done() and not done.cancelled():
         reply.set_result(done.result())
-
-
-async def cancel(task: Task[Any] | None) -> None:
-    """Cancel a task and wait until it has ended."""
-    if task is None or task.done():
-        return
-    task.cancel()
-    try:
-        await task
-    except CancelledError:
-        return
--- a/carawaylane/services/shard.py
+++ b/carawaylane/services/shard.py
@@ -106,11 +106,6 @@
         """Return the slots that a new request could take."""
         return self.pool.free()
 
-    def running_keys(self) -> int:
-        """Return how many keyed requests run here."""
-        records = self.tenure.ledger.records.values()
-        return sum(each.state is State.RUNNING for each in records)
-
     def busy(self) -> int:
         """Return how many slots are taken and demands wait."""
         return len(self._work_now) + len(self._grants)
--- a/tests/decisions/test_at_most_once.py
+++ b/tests/decisions/test_at_most_once.py
@@ -48,6 +48,14 @@
         found = list(self.world.nodes.values())
         return [x for x in found if x.alive and (x.up or not up)]
 
+    def jobs(self, *, sent):
+        return [
+            (node, job)
+            for node in self.nodes()
+            for job in node.jobs
+            if job.sent is sent
+        ]
+
     def pick(self, found, number):
         return found[number % len(found)] if found else None
 
@@ -115,37 +123,19 @@
 
     @rule(number=PICK)
     def execute(self, number):
-        jobs = [
-            (node, job)
-            for node in self.nodes()
-            for job in node.jobs
-            if not job.sent
-        ]
-        chosen = self.pick(jobs, number)
+        chosen = self.pick(self.jobs(sent=False), number)
         if chosen is not None:
             self.world.execute(*chosen)
 
     @rule(number=PICK, what=st.sampled_from(['Answered', 'Unknown']))
     def settle(self, number, what):
-        jobs = [
-            (node, job)
-            for node in self.nodes()
-            for job in node.jobs
-            if job.sent
-        ]
-        chosen = self.pick(jobs, number)
+        chosen = self.pick(self.jobs(sent=True), number)
         if chosen is not None:
             self.world.settle(*chosen, what)
 
     @rule(number=PICK)
     def target_refuses(self, number):
-        jobs = [
-            (node, job)
-            for node in self.nodes()
-            for job in node.jobs
-            if not job.sent
-        ]
-        chosen = self.pick(jobs, number)
+        chosen = self.pick(self.jobs(sent=False), number)
         if chosen is not None:
             self.world.settle(*chosen, 'Refuse')
 
