--- a/bench/fleet_times.py
+++ b/bench/fleet_times.py
@@ -19,7 +19,7 @@
 from bench.demo import SHARDS, TARGETS, apply
 from carawaylane.commands.change import label_targets
 from carawaylane.commands.store import Accepted, Draft, change_config
-from carawaylane.platform.http import HttpDriver
+from carawaylane.storage.http import HttpDriver
 
 if TYPE_CHECKING:
     from carawaylane.config.state import ConfigState
--- a/carawaylane/commands/change.py
+++ b/carawaylane/commands/change.py
@@ -18,7 +18,7 @@
 
     from carawaylane.config.schema import Document
     from carawaylane.config.state import ConfigState
-    from carawaylane.platform.driver import PlatformDriver
+    from carawaylane.storage.driver import PlatformDriver
 
 
 def read_files(paths: list[Path]) -> tuple[list[Document], list[Problem]]:
--- a/carawaylane/commands/cli.py
+++ b/carawaylane/commands/cli.py
@@ -32,8 +32,8 @@
 from carawaylane.commands.store import Accepted, Applied, LostRace
 from carawaylane.config.schema import KINDS
 from carawaylane.messages.outcomes import Problem, Report
-from carawaylane.platform.driver import PlatformDriver, Unavailable
-from carawaylane.platform.http import HttpDriver
+from carawaylane.storage.driver import PlatformDriver, Unavailable
+from carawaylane.storage.http import HttpDriver
 
 T = TypeVar('T')
 
--- a/carawaylane/commands/show.py
+++ b/carawaylane/commands/show.py
@@ -9,10 +9,10 @@
 
 from carawaylane.commands.store import load_config, load_fleet
 from carawaylane.config.documents import to_json
-from carawaylane.platform.driver import Unavailable
+from carawaylane.storage.driver import Unavailable
 
 if TYPE_CHECKING:
-    from carawaylane.platform.driver import PlatformDriver
+    from carawaylane.storage.driver import PlatformDriver
 
 NODE_TIMEOUT_S = 2.0
 Rows = list[dict[str, Any]]
--- a/carawaylane/commands/store.py
+++ b/carawaylane/commands/store.py
@@ -14,14 +14,14 @@
 from carawaylane.decisions.changelog import LogReplica
 from carawaylane.decisions.fleet import FleetState
 from carawaylane.messages.outcomes import Problem, Report
-from carawaylane.platform.driver import Unavailable
-from carawaylane.platform.log import Appended, LogStore
+from carawaylane.storage.driver import Unavailable
+from carawaylane.storage.log import Appended, LogStore
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from carawaylane.decisions.changelog import Fold
-    from carawaylane.platform.driver import PlatformDriver
+    from carawaylane.storage.driver import PlatformDriver
 
 APPEND_TRIES = 20
 
--- a/carawaylane/daemon.py
+++ b/carawaylane/daemon.py
@@ -12,7 +12,7 @@
 from uvloop import run
 
 from carawaylane.kernel.kernel import Kernel
-from carawaylane.services import load_services
+from carawaylane.services import SERVICE_MODULES, load_services
 from carawaylane.settings.settings import Settings, read_settings
 from carawaylane.telemetry.events import (
     NODE_DRAINING,
@@ -45,7 +45,7 @@
     loop = get_running_loop()
     for sig in (SIGTERM, SIGINT):
         loop.add_signal_handler(sig, stops.asked)
-    kernel.build()
+    kernel.build(SERVICE_MODULES)
     try:
         await kernel.start()
     except OSError as exc:
--- /dev/null
+++ b/carawaylane/decisions/dispatcher.py
@@ -0,0 +1,468 @@
+"""Placing, queueing and refusing the requests of one service.
+
+The load this answers: few slots per target, most of them busy at the peak,
+and at any moment some targets that swallow what they are sent. Requests go
+where they are least likely to be lost; one that finds only doubtful slots
+waits a little for a better one; one that can't be served in time is refused
+at once.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from statistics import NormalDist
+from typing import TYPE_CHECKING
+
+from attrs import Factory, define
+
+from carawaylane.decisions.belief import (
+    FAILS_FAILING,
+    FAILS_WELL,
+    Belief,
+    LatencyModel,
+    Result,
+    hang_ratio,
+    shifted,
+)
+from carawaylane.decisions.poison import Quarantine
+from carawaylane.decisions.retry_window import RetryWindow
+from carawaylane.messages.dispatch import (
+    Ask,
+    Grant,
+    Refuse,
+    Ticket,
+    Turn,
+    Verdict,
+    Wait,
+)
+from carawaylane.messages.plan import TargetEntry
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from carawaylane.settings.host import Bounds
+
+# Costs of a choice, in units of a lost request.
+COST_BUSY = 0.03
+COST_SLOW = 0.12
+COST_COLD = 0.08
+COST_FAR = 0.02
+# An idempotent request that is lost can be sent again.
+IDEMPOTENT_RISK = 0.4
+# A request takes this risk at once, and any risk after a share of its
+# latency objective.
+RISK_AT_ONCE = 0.25
+PICKY_SHARE = 0.3
+# Time for which a target is avoided by an entry that could not reach it.
+PATH_S = 4.0
+# An entry's report is late by this much at most, beyond its deadline.
+REPORT_SLACK_S = 1.0
+# A target that fails work is still counted as capacity below this chance.
+USABLE_RISK = 0.5
+# Share of a mean exchange that must remain when a request is granted.
+MIN_WORK_SHARE = 0.7
+# Work older than this quantile of its route is taken to be stuck.
+STUCK_Z = 2.5
+# A hedge is due once the target is more likely stuck than not, but never
+# before this share of well answers has come, nor after that one.
+HEDGE_EARLIEST, HEDGE_LATEST = 0.4, 0.02
+RETRY_AFTER_MIN_S = 0.05
+NO_TARGET_RETRY_S = 0.5
+POISON_RETRY_S = 60.0
+# A target that can't be reached this soon after an exchange broke off has
+# crashed; a request is held after it crashed this many.
+CRASH_S = 2.0
+MAX_VICTIMS = 3
+# The floor: while more than this share of a service is lost, targets that
+# got nothing for a while get requests again, below the users' window of 2 s.
+LOSS_WINDOW_S = 2.0
+LOSS_SHARE = 0.07
+LOSS_MIN = 5
+UNTRIED_S = 1.3
+FLOOR_MARGIN = 0.1
+FIRST_HOLD_S = 0.2
+HOLD_STEP = 0.05
+
+
+@define(kw_only=True)
+class Flight:
+    """A granted request."""
+
+    ask: Ask
+    target: str
+    at_s: float
+
+
+@define(kw_only=True)
+class _Queued:
+    ask: Ask
+    at_s: float
+    deadline_s: float
+
+
+@define(kw_only=True)
+class TargetState:
+    """A target with what runs there and what is believed of it."""
+
+    entry: TargetEntry
+    belief: Belief
+    seen_s: float
+    flights: dict[Ticket, Flight] = Factory(dict)
+    # Until when an entry avoids the target, since it could not reach it.
+    paths: dict[str, float] = Factory(dict)
+    # Digests of requests whose exchange broke off, and when.
+    broke: dict[int, float] = Factory(dict)
+    gone: bool = False
+
+    def open(self) -> bool:
+        """Return whether the target may get new work."""
+        return not self.entry.leaving and not self.gone
+
+    def free(self) -> bool:
+        """Return whether a slot is free."""
+        return len(self.flights) < self.entry.slots
+
+    def cold(self, now_s: float) -> bool:
+        """Return whether the target has just started."""
+        return now_s - self.seen_s < self.entry.cold_s
+
+
+class Dispatcher:
+    """All targets of a service, its queue and its budgets."""
+
+    def __init__(self, *, service: str, bounds: Bounds) -> None:
+        self.service = service
+        self.targets: dict[str, TargetState] = {}
+        self.models: dict[str, LatencyModel] = {}
+        self.flights: dict[Ticket, Flight] = {}
+        self.quarantine = Quarantine(max_victims=MAX_VICTIMS)
+        self._floor = bounds.floor_share
+        self._queue: list[_Queued] = []
+        self._hold_s = FIRST_HOLD_S
+        self._ended: deque[tuple[float, bool]] = deque()
+        self._lost = 0
+        self._retries = RetryWindow(
+            window_s=bounds.retry_window_s,
+            ratio=bounds.retry_ratio,
+            slack=bounds.retry_slack,
+        )
+
+    # Targets
+
+    def configure(self, entries: Iterable[TargetEntry], now_s: float) -> None:
+        """Take in the targets that are known now."""
+        listed = {each.name: each for each in entries}
+        for name in set(self.targets) - set(listed):
+            del self.targets[name]
+        for name, entry in listed.items():
+            known = self.targets.get(name)
+            if known is None or known.entry.born_ms != entry.born_ms:
+                self.targets[name] = TargetState(
+                    entry=entry, belief=Belief(at_s=now_s), seen_s=now_s
+                )
+                continue
+            if known.entry != entry:
+                known.gone = known.gone and (
+                    known.entry.address == entry.address
+                )
+                known.seen_s = now_s
+                known.entry = entry
+
+    def inherit(self, target: str, chance: float, at_s: float) -> None:
+        """Take over what another home believed of a target."""
+        known = self.targets.get(target)
+        if known is not None and known.belief.at_s < at_s:
+            known.belief.chance = chance
+            known.belief.at_s = at_s
+
+    def risk(self, known: TargetState, now_s: float) -> float:
+        """Return the chance that a target is failing, by all evidence."""
+        chance = known.belief.now(now_s)
+        for flight in known.flights.values():
+            model = self._model(flight.ask)
+            survival = model.survival(now_s - flight.at_s)
+            chance = shifted(chance, hang_ratio(survival))
+        return chance
+
+    # Asks
+
+    def ask(self, ask: Ask, now_s: float) -> Verdict:
+        """Return a grant, a place in the queue, or a refusal."""
+        refusal = self._barred(ask, now_s)
+        if refusal is not None:
+            return refusal
+        if ask.turn is Turn.FIRST:
+            self._retries.first(now_s)
+        ahead = self._ahead(ask.priority)
+        # Those ahead may be waiting only for a slot that is less doubtful.
+        if not ahead or ask.idempotent:
+            grant = self._grant(ask, now_s, waited_s=0.0)
+            if grant is not None:
+                return grant
+        if ask.turn is Turn.HEDGE:
+            return self._refuse(ask, 0.0, 'no free slot for a hedge')
+        wait_s = self._wait_s(ahead, now_s)
+        if wait_s + MIN_WORK_SHARE * self._hold_s > ask.left_s:
+            return self._refuse(ask, wait_s, 'no slot in time')
+        queued = _Queued(ask=ask, at_s=now_s, deadline_s=now_s + ask.left_s)
+        self._queue.append(queued)
+        self._queue.sort(key=lambda each: (each.ask.priority, each.at_s))
+        return Wait(ticket=ask.ticket, expect_s=wait_s)
+
+    def cancel(self, ticket: Ticket) -> None:
+        """Forget an ask that waits."""
+        self._queue = [
+            each for each in self._queue if each.ask.ticket != ticket
+        ]
+
+    def drop_entry(self, entry: str) -> None:
+        """Forget asks of an entry that is gone; its work may go on."""
+        self._queue = [each for each in self._queue if each.ask.entry != entry]
+
+    def tick(self, now_s: float) -> list[tuple[Ask, Verdict]]:
+        """Return grants and refusals for those who wait."""
+        self._expire(now_s)
+        found: list[tuple[Ask, Verdict]] = []
+        kept: list[_Queued] = []
+        for queued in self._queue:
+            verdict = self._serve(queued, len(kept), now_s)
+            if verdict is None:
+                kept.append(queued)
+            else:
+                found.append((queued.ask, verdict))
+        self._queue = kept
+        return found
+
+    def waiting(self) -> int:
+        """Return how many asks wait."""
+        return len(self._queue)
+
+    # Results
+
+    def done(
+        self, ticket: Ticket, result: Result, took_s: float, now_s: float
+    ) -> None:
+        """Take in how a granted request ended."""
+        flight = self.flights.pop(ticket, None)
+        if flight is None:
+            return
+        known = self.targets.get(flight.target)
+        if known is not None:
+            known.flights.pop(ticket, None)
+            self._learn(known, flight, result, took_s, now_s)
+        self._count_end(result, now_s)
+
+    def _learn(
+        self,
+        known: TargetState,
+        flight: Flight,
+        result: Result,
+        took_s: float,
+        now_s: float,
+    ) -> None:
+        model = self._model(flight.ask)
+        belief = known.belief
+        if result is Result.ANSWERED:
+            belief.learn_latency(took_s, model)
+            if belief.slowness < 1:
+                model.learn(took_s)
+            self._hold_s += HOLD_STEP * (took_s - self._hold_s)
+        if result is Result.CANCELLED:
+            belief.learn_waiting(model.survival(took_s), now_s)
+            return
+        if result is Result.MISDIRECTED:
+            known.gone = True
+            return
+        if result in (Result.UNREACHED, Result.BROKEN, Result.OVERDUE):
+            known.paths[flight.ask.entry] = now_s + PATH_S
+        belief.learn(result, now_s, self._weight(known, result, now_s))
+        if result is Result.BROKEN and flight.ask.digest:
+            known.broke[flight.ask.digest] = now_s
+        if result is Result.UNREACHED:
+            self._note_crash(known, now_s)
+
+    def _weight(
+        self, known: TargetState, result: Result, now_s: float
+    ) -> float:
+        """Return less than 1 where the path may be at fault instead."""
+        answered = now_s - known.belief.answered_s < 1.0
+        return 0.4 if result is Result.UNREACHED and answered else 1.0
+
+    def _note_crash(self, known: TargetState, now_s: float) -> None:
+        """Blame requests that broke off just before a target was down."""
+        for digest, at_s in known.broke.items():
+            if now_s - at_s < CRASH_S:
+                self.quarantine.crashed(
+                    str(digest), known.entry.name, int(now_s * 1000)
+                )
+        known.broke.clear()
+
+    def _count_end(self, result: Result, now_s: float) -> None:
+        if result in (Result.CANCELLED, Result.UNUSED):
+            return
+        lost = result is not Result.ANSWERED
+        self._ended.append((now_s, lost))
+        self._lost += lost
+
+    # Choices
+
+    def _barred(self, ask: Ask, now_s: float) -> Refuse | None:
+        held = ask.digest and self.quarantine.holds(
+            str(ask.digest), int(now_s * 1000)
+        )
+        if held:
+            return self._refuse(
+                ask, POISON_RETRY_S, 'the request crashes targets'
+            )
+        if not any(each.open() for each in self.targets.values()):
+            return self._refuse(ask, NO_TARGET_RETRY_S, 'no target is known')
+        repeated = ask.turn in (Turn.REPEAT, Turn.HEDGE)
+        if repeated and not self._retries.allow(now_s):
+            return self._refuse(ask, 1.0, 'the retry budget is spent')
+        return None
+
+    def _grant(self, ask: Ask, now_s: float, waited_s: float) -> Grant | None:
+        found = self._choose(ask, now_s)
+        if found is None:
+            return None
+        known, risk = found
+        if risk > self._accepted_risk(ask, waited_s):
+            return None
+        known.belief.tried_s = now_s
+        self._fly(known, ask, now_s)
+        return Grant(
+            ticket=ask.ticket,
+            target=known.entry.name,
+            address=known.entry.address,
+            hedge_s=self._hedge_s(ask, risk),
+            risk=risk,
+        )
+
+    def _fly(self, known: TargetState, ask: Ask, at_s: float) -> None:
+        flight = Flight(ask=ask, target=known.entry.name, at_s=at_s)
+        known.flights[ask.ticket] = flight
+        self.flights[ask.ticket] = flight
+
+    def _accepted_risk(self, ask: Ask, waited_s: float) -> float:
+        if ask.idempotent:
+            return 1.0
+        share = waited_s / (PICKY_SHARE * ask.objective_s)
+        return RISK_AT_ONCE + share * (1 - RISK_AT_ONCE)
+
+    def _choose(
+        self, ask: Ask, now_s: float
+    ) -> tuple[TargetState, float] | None:
+        near = [
+            each
+            for each in self.targets.values()
+            if each.open() and each.free() and each.entry.name not in ask.avoid
+        ]
+        reached = [
+            each for each in near if each.paths.get(ask.entry, 0.0) <= now_s
+        ]
+        near = self._due(reached or near, now_s)
+        best: tuple[float, float, TargetState] | None = None
+        for each in near:
+            risk = self.risk(each, now_s)
+            cost = self._cost(each, ask, risk, now_s)
+            if best is None or cost < best[0]:
+                best = (cost, risk, each)
+        return (best[2], best[1]) if best else None
+
+    def _cost(
+        self, known: TargetState, ask: Ask, risk: float, now_s: float
+    ) -> float:
+        cost = risk * (IDEMPOTENT_RISK if ask.idempotent else 1.0)
+        cost += COST_BUSY * len(known.flights) / known.entry.slots
+        cost += COST_SLOW * max(0.0, known.belief.slow_now(now_s))
+        if known.cold(now_s):
+            cost += COST_COLD
+        if known.entry.data_centre != ask.data_centre:
+            cost += COST_FAR
+        return cost
+
+    def _due(self, near: list[TargetState], now_s: float) -> list[TargetState]:
+        """Return those that the floor wants tried, if it is in danger."""
+        if not self._losing(now_s):
+            return near
+        usable = [each for each in self.targets.values() if each.open()]
+        tried = sum(now_s - each.belief.tried_s < UNTRIED_S for each in usable)
+        if tried >= (self._floor + FLOOR_MARGIN) * len(usable):
+            return near
+        due = [
+            each for each in near if now_s - each.belief.tried_s >= UNTRIED_S
+        ]
+        return due or near
+
+    def _losing(self, now_s: float) -> bool:
+        while self._ended and self._ended[0][0] < now_s - LOSS_WINDOW_S:
+            self._lost -= self._ended.popleft()[1]
+        return self._lost >= max(LOSS_MIN, LOSS_SHARE * len(self._ended))
+
+    def _hedge_s(self, ask: Ask, risk: float) -> float:
+        """Return the age at which the target is more likely stuck."""
+        odds = (1 - risk) / risk
+        share = (FAILS_FAILING - odds * FAILS_WELL) / max(
+            0.01, odds * (1 - FAILS_WELL) - (1 - FAILS_FAILING)
+        )
+        if odds * (1 - FAILS_WELL) <= 1 - FAILS_FAILING:
+            share = HEDGE_EARLIEST
+        share = max(HEDGE_LATEST, min(HEDGE_EARLIEST, share))
+        z = NormalDist().inv_cdf(1 - share)
+        return self._model(ask).quantile_s(z)
+
+    # Queue
+
+    def _serve(
+        self, queued: _Queued, ahead: int, now_s: float
+    ) -> Verdict | None:
+        ask = queued.ask
+        left_s = queued.deadline_s - now_s
+        grant = self._grant(ask, now_s, now_s - queued.at_s)
+        if grant is not None:
+            return grant
+        wait_s = self._wait_s(ahead, now_s)
+        if left_s < wait_s + MIN_WORK_SHARE * self._hold_s:
+            return self._refuse(ask, wait_s, 'no slot in time')
+        return None
+
+    def _ahead(self, priority: int) -> int:
+        return sum(each.ask.priority <= priority for each in self._queue)
+
+    def _wait_s(self, ahead: int, now_s: float) -> float:
+        """Return how long one waits behind a number of others."""
+        slots = 0
+        for each in self.targets.values():
+            if not each.open():
+                continue
+            stuck = sum(
+                now_s - flight.at_s
+                > self._model(flight.ask).quantile_s(STUCK_Z)
+                for flight in each.flights.values()
+            )
+            if self.risk(each, now_s) < USABLE_RISK:
+                slots += max(0, each.entry.slots - stuck)
+        if not slots:
+            slots = 1
+        return (ahead + 1) * self._hold_s / slots
+
+    def _refuse(self, ask: Ask, retry_after_s: float, reason: str) -> Refuse:
+        return Refuse(
+            ticket=ask.ticket,
+            retry_after_s=max(RETRY_AFTER_MIN_S, retry_after_s),
+            reason=reason,
+        )
+
+    def _expire(self, now_s: float) -> None:
+        """Drop flights whose entry will not report any more."""
+        for ticket, flight in list(self.flights.items()):
+            end_s = flight.at_s + flight.ask.left_s + REPORT_SLACK_S
+            if now_s > end_s:
+                self.done(ticket, Result.CANCELLED, now_s - flight.at_s, now_s)
+
+    def _model(self, ask: Ask) -> LatencyModel:
+        found = self.models.get(ask.route)
+        if found is None:
+            found = LatencyModel.for_objective(ask.objective_s)
+            self.models[ask.route] = found
+        return found
--- /dev/null
+++ b/carawaylane/gateway/daemon.py
@@ -0,0 +1,124 @@
+"""The daemon on the users' platform: one node, from its settings file."""
+
+from __future__ import annotations
+
+import sys
+from asyncio import Event, get_running_loop, sleep
+from importlib import import_module
+from os import environ
+from pathlib import Path
+from random import Random
+from signal import SIGHUP, SIGINT, SIGTERM
+from typing import TYPE_CHECKING
+
+from uvloop import run
+
+from carawaylane.kernel.kernel import Kernel
+from carawaylane.messages.outcomes import Problem
+from carawaylane.platform.boot import read_boot, settings_path
+from carawaylane.telemetry.events import (
+    NODE_DRAINING,
+    NODE_STARTED,
+    NODE_STOPPED,
+    SETTINGS_BAD,
+    SETTINGS_READ,
+    emit,
+    setup_logging,
+)
+
+if TYPE_CHECKING:
+    from carawaylane.settings.host import HostSettings
+
+EXIT_SETTINGS = 2
+EXIT_BROKEN = 70
+# The settings file may change without a signal.
+RELOAD_PERIOD_S = 1.0
+# In the order in which they start; they drain and stop in reverse.
+SERVICES = {
+    'telemetry': 'carawaylane.services.telemetry',
+    'links': 'carawaylane.gateway.links',
+    'directory': 'carawaylane.gateway.directory',
+    'news': 'carawaylane.gateway.news',
+    'dispatchers': 'carawaylane.gateway.dispatchers',
+    'fleet_rpc': 'carawaylane.gateway.fleet_rpc',
+    'dispatch': 'carawaylane.gateway.dispatch',
+    'exchanges': 'carawaylane.gateway.exchanges',
+    'forwarding': 'carawaylane.gateway.forwarding',
+    'callers': 'carawaylane.gateway.callers',
+    'status': 'carawaylane.gateway.status',
+    'store_watch': 'carawaylane.gateway.store_watch',
+}
+
+
+def main() -> None:
+    """Run a node until it is told to stop."""
+    path = settings_path(environ)
+    if path is None:
+        print('carawaylane: no settings file is named', file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    sys.exit(run(serve(Path(path))))
+
+
+def read_file(path: Path) -> tuple[str, HostSettings | Problem]:
+    """Return the text of the settings file and what it says."""
+    try:
+        text = path.read_text()
+    except (OSError, UnicodeDecodeError) as exc:
+        return '', Problem(place=str(path), reason=str(exc))
+    return text, read_boot(text)
+
+
+async def serve(path: Path) -> int:
+    """Serve until a signal; return the exit code of the process."""
+    text, cfg = read_file(path)
+    if isinstance(cfg, Problem):
+        print(f'carawaylane: {cfg}', file=sys.stderr)
+        return EXIT_SETTINGS
+    setup_logging(as_json=True, verbosity='info')
+    kernel = Kernel(cfg=cfg, rng=Random())
+    reload = Event()
+    loop = get_running_loop()
+    for sig in (SIGTERM, SIGINT):
+        loop.add_signal_handler(sig, kernel.wake.set)
+    loop.add_signal_handler(SIGHUP, reload.set)
+    for module in SERVICES.values():
+        import_module(module)
+    kernel.build(tuple(SERVICES))
+    try:
+        await kernel.start()
+    except OSError as exc:
+        print(f'carawaylane: {exc}', file=sys.stderr)
+        return EXIT_SETTINGS
+    emit(NODE_STARTED, member=kernel.member, listen=cfg.listen)
+    watch = loop.create_task(_reload_loop(kernel, path, text, reload))
+    await kernel.wake.wait()
+    watch.cancel()
+    if kernel.failure is None:
+        emit(NODE_DRAINING, member=kernel.member)
+        await kernel.drain()
+    await kernel.stop()
+    emit(NODE_STOPPED, member=kernel.member)
+    return EXIT_BROKEN if kernel.failure is not None else 0
+
+
+async def _reload_loop(
+    kernel: Kernel, path: Path, text: str, reload: Event
+) -> None:
+    """Take in a changed settings file; addresses stay as they are."""
+    while True:
+        await sleep(RELOAD_PERIOD_S)
+        if reload.is_set():
+            reload.clear()
+        now, cfg = read_file(path)
+        if now == text:
+            continue
+        text = now
+        if isinstance(cfg, Problem):
+            emit(SETTINGS_BAD, reason=str(cfg))
+            continue
+        kernel.cfg = cfg
+        emit(SETTINGS_READ, member=kernel.member)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/carawaylane/gateway/dispatch.py
@@ -0,0 +1,268 @@
+"""The entry's side of dispatching: asks homes for targets."""
+
+from __future__ import annotations
+
+from asyncio import Queue, timeout
+from typing import TYPE_CHECKING, Protocol
+
+from attrs import Factory, define, frozen
+
+from carawaylane.decisions.belief import Result
+from carawaylane.decisions.spread import ranked
+from carawaylane.gateway.dispatchers import AskTarget, TargetDone
+from carawaylane.gateway.links import HomeLink
+from carawaylane.kernel.service import Service, service
+from carawaylane.messages.dispatch import Ask, Grant, Refuse, Verdict, Wait
+from carawaylane.rpc.fleet_codec import pack_ask, pack_done
+from carawaylane.rpc.fleet_pb2 import Call
+from carawaylane.telemetry.events import HOME_SILENT, emit
+
+if TYPE_CHECKING:
+    from carawaylane.gateway.dispatchers import Dispatchers
+    from carawaylane.kernel.kernel import Kernel
+    from carawaylane.messages.dispatch import Ticket
+
+# A home replies to an ask at once; a round trip takes a few milliseconds,
+# a busy node some tens.
+ACK_TIMEOUT_S = 0.25
+# Beyond what a home said that a queued ask would take.
+WAIT_SLACK_S = 0.5
+WAIT_FACTOR = 3.0
+# Homes by rank that are tried before this node decides alone.
+HOMES_TRIED = 2
+SUSPECT_S = 1.0
+SUSPECT_MAX_S = 16.0
+
+
+class Home(Protocol):
+    """A home, here or on another node."""
+
+    def ask(self, name: str, ask: Ask) -> None:
+        """Ask for a target of a service."""
+
+    def done(
+        self, name: str, ticket: Ticket, result: Result, took_s: float
+    ) -> None:
+        """Report on a granted request, or cancel an ask."""
+
+
+class _LocalHome:
+    def __init__(self, *, homes: Dispatchers, dispatch: Dispatch) -> None:
+        self._homes = homes
+        self._dispatch = dispatch
+
+    def ask(self, name: str, ask: Ask) -> None:
+        self._homes.post(
+            AskTarget(
+                service=name,
+                ask=ask,
+                reply=lambda found: self._dispatch.took(self, name, found),
+            )
+        )
+
+    def done(
+        self, name: str, ticket: Ticket, result: Result, took_s: float
+    ) -> None:
+        self._homes.post(
+            TargetDone(
+                service=name, ticket=ticket, result=result, took_s=took_s
+            )
+        )
+
+
+class _RemoteHome:
+    def __init__(self, *, member: str, dispatch: Dispatch) -> None:
+        self.member = member
+        self.link: HomeLink | None = None
+        self._dispatch = dispatch
+        self._names: dict[Ticket, str] = {}
+
+    def ask(self, name: str, ask: Ask) -> None:
+        self._names[ask.ticket] = name
+        self._send(Call(ask=pack_ask(ask, name)))
+
+    def done(
+        self, name: str, ticket: Ticket, result: Result, took_s: float
+    ) -> None:
+        self._names.pop(ticket, None)
+        if self.link is not None and self.link.open:
+            msg = pack_done(ticket, name, result, took_s)
+            self.link.send(Call(done=msg))
+
+    def took(self, verdict: Verdict) -> None:
+        name = self._names.get(verdict.ticket)
+        if name is not None:
+            self._dispatch.took(self, name, verdict)
+
+    def lost(self) -> list[Ticket]:
+        """Forget what was asked; return the tickets that were open."""
+        tickets = list(self._names)
+        self._names.clear()
+        return tickets
+
+    def _send(self, call: Call) -> None:
+        if self.link is None or not self.link.open:
+            self.link = self._dispatch.connect(self)
+        self.link.send(call)
+
+
+@frozen(kw_only=True)
+class Placed:
+    """A grant and the home that gave it."""
+
+    grant: Grant
+    home: Home
+    service: str
+
+
+@define(kw_only=True)
+class _Suspicion:
+    until_s: float
+    length_s: float
+
+
+@define(kw_only=True, eq=False)
+class _Waiter:
+    home: Home
+    verdicts: Queue[Verdict | None] = Factory(Queue)
+
+
+@service('dispatch')
+class Dispatch(Service):
+    """Finds the home of a service, and decides alone if none answers."""
+
+    def __init__(self, *, kernel: Kernel) -> None:
+        super().__init__(kernel=kernel)
+        self._waiters: dict[Ticket, _Waiter] = {}
+        self._remote: dict[str, _RemoteHome] = {}
+        self._suspects: dict[str, _Suspicion] = {}
+        self._number = 0
+
+    async def start(self) -> None:
+        """Find the services that dispatching needs."""
+        self._directory = self.kernel.find('directory')
+        self._local = _LocalHome(
+            homes=self.kernel.find('dispatchers'), dispatch=self
+        )
+
+    def ticket(self) -> Ticket:
+        """Return a ticket for one more ask."""
+        self._number += 1
+        return (self.kernel.member, self._number)
+
+    async def place(self, name: str, ask: Ask) -> Placed | Refuse:
+        """Return a grant for a request to a service, or a refusal."""
+        end_s = self.kernel.now_s() + ask.left_s
+        for member in self._candidates(name):
+            home = self._home(member)
+            verdict = await self._ask(home, name, ask, end_s)
+            if isinstance(verdict, Grant):
+                return Placed(grant=verdict, home=home, service=name)
+            if isinstance(verdict, Refuse):
+                return verdict
+            self._suspect(member, ask)
+        return Refuse(
+            ticket=ask.ticket, retry_after_s=0.1, reason='no home in time'
+        )
+
+    def took(self, home: Home, name: str, verdict: Verdict) -> None:
+        """Take in a verdict; a grant that nobody waits for goes back."""
+        waiter = self._waiters.get(verdict.ticket)
+        if waiter is not None and waiter.home is home:
+            waiter.verdicts.put_nowait(verdict)
+        elif isinstance(verdict, Grant):
+            home.done(name, verdict.ticket, Result.UNUSED, 0.0)
+
+    def connect(self, home: _RemoteHome) -> HomeLink:
+        """Return a new stream to a home."""
+        member = self._directory.members[home.member]
+        link = HomeLink(
+            member=home.member, address=member.address, on_verdict=home.took
+        )
+        self.spawn(self._run(home, link))
+        return link
+
+    async def _run(self, home: _RemoteHome, link: HomeLink) -> None:
+        hello = Call(
+            entry=self.kernel.member, data_centre=self.kernel.cfg.data_centre
+        )
+        await link.run(self, hello)
+        if home.link is not link:
+            return
+        for ticket in home.lost():
+            waiter = self._waiters.get(ticket)
+            if waiter is not None and waiter.home is home:
+                waiter.verdicts.put_nowait(None)
+
+    async def _ask(
+        self, home: Home, name: str, ask: Ask, end_s: float
+    ) -> Verdict | None:
+        """Return a grant or a refusal; None if the home is silent."""
+        waiter = _Waiter(home=home)
+        self._waiters[ask.ticket] = waiter
+        verdict: Verdict | None = None
+        try:
+            home.ask(name, ask)
+            verdict = await self._next(waiter, ACK_TIMEOUT_S)
+            if isinstance(verdict, Wait):
+                limit_s = WAIT_FACTOR * verdict.expect_s + WAIT_SLACK_S
+                left_s = end_s - self.kernel.now_s()
+                verdict = await self._next(waiter, max(limit_s, left_s))
+            return verdict
+        finally:
+            del self._waiters[ask.ticket]
+            if verdict is None or isinstance(verdict, Wait):
+                home.done(name, ask.ticket, Result.UNUSED, 0.0)
+
+    async def _next(self, waiter: _Waiter, limit_s: float) -> Verdict | None:
+        try:
+            async with timeout(limit_s):
+                return await waiter.verdicts.get()
+        except TimeoutError:
+            return None
+
+    def _candidates(self, name: str) -> list[str]:
+        now_s = self.kernel.now_s()
+        own = self.kernel.cfg.name
+        known = [
+            each
+            for each in self._directory.members.values()
+            if (held := self._suspects.get(each.name)) is None
+            or held.until_s <= now_s
+        ]
+        found = ranked(known, name)[:HOMES_TRIED]
+        if own in found:
+            return found[: found.index(own) + 1]
+        return [*found, own]
+
+    def _home(self, member: str) -> Home:
+        if member == self.kernel.cfg.name:
+            return self._local
+        home = self._remote.get(member)
+        if home is None:
+            home = _RemoteHome(member=member, dispatch=self)
+            self._remote[member] = home
+        return home
+
+    def _suspect(self, member: str, ask: Ask) -> None:
+        """Avoid a home for a while, longer each time it is silent again."""
+        home = self._remote.get(member)
+        if home is None:
+            return
+        if home.link is not None:
+            # It may be only this connection that has gone silent.
+            home.link.close()
+        now_s = self.kernel.now_s()
+        known = self._suspects.get(member)
+        length_s = SUSPECT_S
+        if known is not None and now_s - known.until_s < known.length_s:
+            length_s = min(SUSPECT_MAX_S, 2 * known.length_s)
+        self._suspects[member] = _Suspicion(
+            until_s=now_s + length_s, length_s=length_s
+        )
+        emit(
+            HOME_SILENT,
+            member=member,
+            request=ask.request_id,
+            avoided_s=length_s,
+        )
--- /dev/null
+++ b/carawaylane/gateway/dispatchers.py
@@ -0,0 +1,182 @@
+"""Dispatchers of the services that this node is asked for."""
+
+from __future__ import annotations
+
+from asyncio import sleep
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+
+from carawaylane.decisions.belief import Result
+from carawaylane.decisions.dispatcher import Dispatcher
+from carawaylane.gateway.directory import TargetsChanged
+from carawaylane.kernel.service import Actor, handles, service
+from carawaylane.messages.dispatch import Ask, Grant, Refuse, Ticket, Verdict
+from carawaylane.telemetry.events import (
+    REQUEST_GRANTED,
+    REQUEST_QUEUED,
+    REQUEST_REFUSED,
+    TARGET_REPORT,
+    emit,
+)
+
+if TYPE_CHECKING:
+    from carawaylane.kernel.kernel import Kernel
+
+# Period at which those who wait are looked at, beside each end of work.
+TICK_S = 0.02
+# Period at which flights of lost entries are dropped.
+IDLE_TICK_S = 0.5
+
+
+@frozen(kw_only=True)
+class AskTarget:
+    """An entry asks for a target; replies go to a function."""
+
+    service: str
+    ask: Ask
+    reply: Callable[[Verdict], None]
+
+
+@frozen(kw_only=True)
+class TargetDone:
+    """An entry reports on a granted request."""
+
+    service: str
+    ticket: Ticket
+    result: Result
+    took_s: float
+
+
+@frozen(kw_only=True)
+class EntryLost:
+    """The stream of an entry ended: nobody waits for its asks."""
+
+    entry: str
+
+
+@service('dispatchers')
+class Dispatchers(Actor):
+    """Owns the dispatchers; any node serves whoever asks it."""
+
+    def __init__(self, *, kernel: Kernel) -> None:
+        super().__init__(kernel=kernel)
+        self.dispatchers: dict[str, Dispatcher] = {}
+        self._replies: dict[Ticket, Callable[[Verdict], None]] = {}
+
+    async def start(self) -> None:
+        """Begin to serve asks."""
+        self._directory = self.kernel.find('directory')
+        self._metrics = self.kernel.find('telemetry').metrics
+        self._directory.tell(self)
+        await super().start()
+        self.spawn(self._tick_loop())
+
+    def dispatcher(self, name: str) -> Dispatcher:
+        """Return the dispatcher of a service, made on first use."""
+        found = self.dispatchers.get(name)
+        if found is None:
+            found = Dispatcher(service=name, bounds=self.kernel.cfg.bounds)
+            now_s = self.kernel.now_s()
+            found.configure(self._directory.targets_of(name), now_s)
+            self.dispatchers[name] = found
+        return found
+
+    @handles(TargetsChanged)
+    def _changed(self, msg: TargetsChanged) -> None:
+        now_s = self.kernel.now_s()
+        for name in msg.services & set(self.dispatchers):
+            found = self.dispatchers[name]
+            found.configure(self._directory.targets_of(name), now_s)
+            self._tick(found)
+
+    @handles(AskTarget)
+    def _ask(self, msg: AskTarget) -> None:
+        found = self.dispatcher(msg.service)
+        verdict = found.ask(msg.ask, self.kernel.now_s())
+        self._log(msg.service, msg.ask, verdict)
+        if not isinstance(verdict, Grant | Refuse):
+            self._replies[msg.ask.ticket] = msg.reply
+        msg.reply(verdict)
+
+    @handles(TargetDone)
+    def _done(self, msg: TargetDone) -> None:
+        found = self.dispatcher(msg.service)
+        flight = found.flights.get(msg.ticket)
+        if flight is None:
+            found.cancel(msg.ticket)
+            self._replies.pop(msg.ticket, None)
+            return
+        found.done(msg.ticket, msg.result, msg.took_s, self.kernel.now_s())
+        known = found.targets.get(flight.target)
+        emit(
+            TARGET_REPORT,
+            request=flight.ask.request_id,
+            target=flight.target,
+            result=msg.result.name,
+            took_ms=round(msg.took_s * 1000),
+            sick=round(known.belief.chance, 3) if known else None,
+        )
+        self._tick(found)
+
+    @handles(EntryLost)
+    def _entry_lost(self, msg: EntryLost) -> None:
+        for found in self.dispatchers.values():
+            found.drop_entry(msg.entry)
+        self._replies = {
+            ticket: reply
+            for ticket, reply in self._replies.items()
+            if ticket[0] != msg.entry
+        }
+
+    def _tick(self, found: Dispatcher) -> None:
+        for ask, verdict in found.tick(self.kernel.now_s()):
+            self._log(found.service, ask, verdict)
+            reply = self._replies.pop(verdict.ticket, None)
+            if reply is not None:
+                reply(verdict)
+
+    async def _tick_loop(self) -> None:
+        idle_s = 0.0
+        while True:
+            await sleep(TICK_S)
+            idle_s += TICK_S
+            for found in self.dispatchers.values():
+                if found.waiting() or idle_s >= IDLE_TICK_S:
+                    self._tick(found)
+            if idle_s >= IDLE_TICK_S:
+                idle_s = 0.0
+
+    def _log(self, name: str, ask: Ask, verdict: Verdict) -> None:
+        match verdict:
+            case Grant():
+                emit(
+                    REQUEST_GRANTED,
+                    request=ask.request_id,
+                    service=name,
+                    target=verdict.target,
+                    risk=round(verdict.risk, 3),
+                    turn=ask.turn.name,
+                    entry=ask.entry,
+                )
+            case Refuse():
+                self._metrics.count('refusals', service=name)
+                emit(
+                    REQUEST_REFUSED,
+                    request=ask.request_id,
+                    service=name,
+                    reason=verdict.reason,
+                    turn=ask.turn.name,
+                    retry_after_ms=round(verdict.retry_after_s * 1000),
+                    left_ms=round(ask.left_s * 1000),
+                    waiting=self.dispatchers[name].waiting(),
+                )
+            case _:
+                emit(
+                    REQUEST_QUEUED,
+                    request=ask.request_id,
+                    service=name,
+                    expect_ms=round(verdict.expect_s * 1000),
+                    waiting=self.dispatchers[name].waiting(),
+                )
--- /dev/null
+++ b/carawaylane/gateway/forwarding.py
@@ -0,0 +1,280 @@
+"""Forwarding of a caller's request: targets, again where that is safe."""
+
+from __future__ import annotations
+
+from asyncio import FIRST_COMPLETED, Task, create_task, wait
+from typing import TYPE_CHECKING
+
+from attrs import Factory, define, frozen
+
+from carawaylane.decisions.belief import Result
+from carawaylane.gateway.dispatch import Placed
+from carawaylane.gateway.exchanges import Exchange, Outgoing
+from carawaylane.kernel.service import Service, service
+from carawaylane.messages.dispatch import Ask, Refuse, Turn
+from carawaylane.messages.outcomes import (
+    Answered,
+    Failed,
+    NotRun,
+    Outcome,
+    Unknown,
+)
+from carawaylane.messages.plan import Route
+from carawaylane.services.targets import Broke, NeverSent, Refused, Whole
+from carawaylane.telemetry.events import TARGET_RESULT, emit
+
+if TYPE_CHECKING:
+    from carawaylane.kernel.kernel import Kernel
+
+SERVER_ERROR = 500
+# Sends that never reached a target don't count against the route's limit,
+# but they end somewhere.
+MAX_UNREACHED = 3
+# An answer that comes in less than this can't be acted on.
+LEAST_LEFT_S = 0.005
+
+
+@frozen(kw_only=True)
+class Job:
+    """A caller's request with its route; times of the steady clock."""
+
+    out: Outgoing
+    route: Route
+    service: str
+    deadline_s: float
+    digest: int
+
+
+@define(kw_only=True, eq=False)
+class _Send:
+    """An exchange under way."""
+
+    placed: Placed
+    began_s: float
+    task: Task[Exchange]
+
+
+@define(kw_only=True, eq=False)
+class _Progress:
+    """What a job has been through."""
+
+    job: Job
+    running: list[_Send] = Factory(list)
+    avoid: set[str] = Factory(set)
+    # Targets that have received the request.
+    reached: int = 0
+    unreached: int = 0
+    hedge_at_s: float = float('inf')
+    hedged: bool = False
+    # The target's own error, kept in case that nothing better comes.
+    error: Answered | None = None
+    # Why it may have run without an answer.
+    broken: str = ''
+    timed_out: bool = False
+
+
+@service('forwarding')
+class Forwarding(Service):
+    """Takes each request to one outcome."""
+
+    def __init__(self, *, kernel: Kernel) -> None:
+        super().__init__(kernel=kernel)
+
+    async def start(self) -> None:
+        """Find the services that forwarding needs."""
+        self._dispatch = self.kernel.find('dispatch')
+        self._exchanges = self.kernel.find('exchanges')
+        self._metrics = self.kernel.find('telemetry').metrics
+
+    async def forward(self, job: Job) -> Outcome:
+        """Return how a request ended; cancelling it stops its targets."""
+        state = _Progress(job=job)
+        try:
+            return await self._forward(state)
+        finally:
+            for send in state.running:
+                send.task.cancel()
+                self._report(send, Result.CANCELLED)
+
+    async def _forward(self, state: _Progress) -> Outcome:
+        turn = Turn.FIRST
+        while True:
+            placed = await self._place(state, turn)
+            if isinstance(placed, Refuse):
+                if not state.running:
+                    return self._refused(state, placed)
+                # Only a hedge was refused: wait for what runs.
+                state.hedge_at_s = float('inf')
+            else:
+                self._send(state, placed)
+            next_turn = await self._await_turn(state)
+            if not isinstance(next_turn, Turn):
+                return next_turn
+            turn = next_turn
+
+    async def _place(self, state: _Progress, turn: Turn) -> Placed | Refuse:
+        job = state.job
+        left_s = job.deadline_s - self.kernel.now_s()
+        ticket = self._dispatch.ticket()
+        if left_s < LEAST_LEFT_S:
+            return Refuse(
+                ticket=ticket, retry_after_s=0.1, reason='no time is left'
+            )
+        ask = Ask(
+            ticket=ticket,
+            data_centre=self.kernel.cfg.data_centre,
+            route=job.route.name,
+            priority=job.route.priority,
+            idempotent=job.route.idempotent,
+            left_s=left_s,
+            objective_s=job.route.objective_s,
+            turn=turn,
+            avoid=frozenset(state.avoid),
+            digest=job.digest,
+            request_id=job.out.request_id,
+        )
+        return await self._dispatch.place(job.service, ask)
+
+    def _send(self, state: _Progress, placed: Placed) -> None:
+        job = state.job
+        now_s = self.kernel.now_s()
+        grant = placed.grant
+        task = create_task(
+            self._exchanges.exchange(
+                grant.target, grant.address, job.out, job.deadline_s - now_s
+            )
+        )
+        state.running.append(_Send(placed=placed, began_s=now_s, task=task))
+        state.avoid.add(grant.target)
+        state.reached += 1
+        if job.route.idempotent and state.reached < job.route.max_targets:
+            state.hedge_at_s = now_s + grant.hedge_s
+
+    async def _await_turn(self, state: _Progress) -> Turn | Outcome:
+        """Wait for an outcome, or for a reason to send once more."""
+        while state.running:
+            now_s = self.kernel.now_s()
+            limit_s = None
+            if state.hedge_at_s < float('inf'):
+                limit_s = max(0.0, state.hedge_at_s - now_s)
+            done, _ = await wait(
+                [send.task for send in state.running],
+                timeout=limit_s,
+                return_when=FIRST_COMPLETED,
+            )
+            if not done:
+                state.hedge_at_s = float('inf')
+                return Turn.HEDGE
+            for send in [s for s in state.running if s.task in done]:
+                state.running.remove(send)
+                found = self._conclude(state, send)
+                if found is not None and not state.running:
+                    return found
+                if isinstance(found, Answered):
+                    return found
+        return self._failed(state)
+
+    def _conclude(
+        self, state: _Progress, send: _Send
+    ) -> Turn | Outcome | None:
+        """Take in the end of an exchange."""
+        found = send.task.result()
+        result = _result_of(found)
+        self._report(send, result)
+        self._log(state, send, found, result)
+        match found:
+            case Whole():
+                return self._whole(state, found, send)
+            case NeverSent():
+                state.reached -= 1
+                state.unreached += 1
+                if state.unreached <= MAX_UNREACHED:
+                    return Turn.RESEND
+            case Refused():
+                if self._may_repeat(state):
+                    return Turn.REPEAT
+            case Broke():
+                state.broken = found.reason
+                state.timed_out = found.timed_out
+                if state.job.route.idempotent and self._may_repeat(state):
+                    return Turn.REPEAT
+        return None
+
+    def _whole(
+        self, state: _Progress, found: Whole, send: _Send
+    ) -> Turn | Outcome | None:
+        answer = Answered(
+            status=found.status,
+            headers=found.headers,
+            body=found.body,
+            target=send.placed.grant.target,
+        )
+        if found.status < SERVER_ERROR or not state.job.route.idempotent:
+            return answer
+        state.error = answer
+        return Turn.REPEAT if self._may_repeat(state) else None
+
+    def _may_repeat(self, state: _Progress) -> bool:
+        left_s = state.job.deadline_s - self.kernel.now_s()
+        limit = state.job.route.max_targets
+        return state.reached < limit and left_s > LEAST_LEFT_S
+
+    def _refused(self, state: _Progress, refusal: Refuse) -> Outcome:
+        if state.error is not None or state.broken:
+            return self._failed(state)
+        # Whatever was sent has been refused by its target, or never left.
+        return NotRun(
+            reason=refusal.reason,
+            retry_after_ms=int(refusal.retry_after_s * 1000),
+        )
+
+    def _failed(self, state: _Progress) -> Outcome:
+        if state.error is not None:
+            return state.error
+        if state.timed_out or state.broken:
+            if state.job.route.idempotent and not state.timed_out:
+                return Failed(reason=state.broken, retry_after_ms=0)
+            return Unknown(reason=state.broken)
+        return NotRun(reason='targets refused it', retry_after_ms=100)
+
+    def _report(self, send: _Send, result: Result) -> None:
+        grant = send.placed.grant
+        took_s = self.kernel.now_s() - send.began_s
+        send.placed.home.done(
+            send.placed.service, grant.ticket, result, took_s
+        )
+        self._metrics.count('exchanges', result=result.name)
+        if result is Result.ANSWERED:
+            self._metrics.time('target', took_s)
+
+    def _log(
+        self, state: _Progress, send: _Send, found: Exchange, result: Result
+    ) -> None:
+        if result is Result.ANSWERED:
+            return
+        emit(
+            TARGET_RESULT,
+            request=state.job.out.request_id,
+            target=send.placed.grant.target,
+            result=result.name,
+            reason=getattr(found, 'reason', ''),
+            took_ms=round((self.kernel.now_s() - send.began_s) * 1000),
+            risk=round(send.placed.grant.risk, 2),
+        )
+
+
+def _result_of(found: Exchange) -> Result:
+    match found:
+        case Whole(status=status):
+            return (
+                Result.ERRORED if status >= SERVER_ERROR else Result.ANSWERED
+            )
+        case NeverSent():
+            return Result.UNREACHED
+        case Refused(misdirected=True):
+            return Result.MISDIRECTED
+        case Refused():
+            return Result.SHED
+        case Broke(timed_out=True):
+            return Result.OVERDUE
+    return Result.BROKEN
--- /dev/null
+++ b/carawaylane/gateway/store_watch.py
@@ -0,0 +1,188 @@
+"""Follows the platform's store for this data centre, and registers here."""
+
+from __future__ import annotations
+
+from asyncio import sleep
+from typing import TYPE_CHECKING
+
+from attrs import evolve
+
+from carawaylane.decisions.spread import WATCH_SEED, ranked, should_watch
+from carawaylane.kernel.service import Service, service
+from carawaylane.messages.plan import Member
+from carawaylane.messages.stored import Items, Kind
+from carawaylane.platform.documents import write_member
+from carawaylane.platform.objects import Expired, ObjectStore
+from carawaylane.storage.driver import Unavailable
+from carawaylane.telemetry.events import (
+    HISTORY_EXPIRED,
+    JOINED,
+    PLATFORM_DOWN,
+    PLATFORM_UP,
+    WATCH_DUTY,
+    emit,
+)
+
+if TYPE_CHECKING:
+    from carawaylane.kernel.kernel import Kernel
+
+# How long a watch waits at the store: each return is a call that is paid
+# for, and a lost connection goes unnoticed as long.
+WAIT_S = {Kind.PLAN: 2.0, Kind.TARGETS: 2.0, Kind.MEMBERS: 10.0}
+DUTY_PERIOD_S = 0.2
+RETRY_S = 0.4
+# A cold start: all nodes register at once, then read who is there.
+SETTLE_S = 0.3
+# A store that was silent this long to every node was out.
+OUTAGE_S = 3.2
+
+
+@service('store_watch')
+class StoreWatch(Service):
+    """One task for each kind of object, active while this node is on duty."""
+
+    def __init__(self, *, kernel: Kernel) -> None:
+        super().__init__(kernel=kernel)
+        cfg = kernel.cfg
+        self._store = ObjectStore(address=cfg.store_address)
+        self._listed: set[Kind] = set()
+        self._up = True
+        self._on_duty = False
+        self._lapsing_until_s = 0.0
+
+    async def start(self) -> None:
+        """Begin to join and to follow."""
+        self._directory = self.kernel.find('directory')
+        self._news = self.kernel.find('news')
+        self.spawn(self._join())
+        for kind in Kind:
+            self.spawn(self._follow(kind))
+        self.spawn(self._heartbeats())
+
+    async def drain(self) -> None:
+        """Take this node off the list before it stops serving."""
+        await self._store.delete(Kind.MEMBERS, self.kernel.cfg.name)
+
+    async def stop(self) -> None:
+        """Close the connections to the store."""
+        await super().stop()
+        await self._store.close()
+
+    async def _join(self) -> None:
+        """Register, then learn of the others from seeds or the store."""
+        cfg = self.kernel.cfg
+        own = Member(
+            name=cfg.name,
+            address=cfg.peer_listen,
+            data_centre=cfg.data_centre,
+            cores=cfg.cores,
+        )
+        self._directory.members[own.name] = own
+        self.spawn(self._register(own))
+        await sleep(SETTLE_S * (0.5 + self.kernel.rng.random()))
+        while not self.kernel.draining:
+            await self._news.ask_seeds()
+            if self._directory.plan is not None:
+                break
+            await self._list(Kind.MEMBERS)
+            if self._directory.replicas[Kind.MEMBERS].revision:
+                break
+            await sleep(RETRY_S)
+        emit(JOINED, member=cfg.name, members=len(self._directory.members))
+
+    async def _register(self, own: Member) -> None:
+        value = write_member(own)
+        while not self.kernel.draining:
+            done = await self._store.create(Kind.MEMBERS, own.name, value)
+            if done is False:
+                known = self._directory.members.get(own.name)
+                if known == own:
+                    return
+                done = await self._store.replace(Kind.MEMBERS, own.name, value)
+            if done is True:
+                return
+            await sleep(RETRY_S * (1 + self.kernel.rng.random()))
+
+    async def _follow(self, kind: Kind) -> None:
+        while True:
+            if self.kernel.draining or not self._duty(kind):
+                await sleep(DUTY_PERIOD_S)
+                continue
+            if self._directory.replicas[kind].revision == 0:
+                await self._list(kind)
+            else:
+                await self._watch(kind)
+
+    def _duty(self, kind: Kind) -> bool:
+        cfg = self.kernel.cfg
+        replica = self._directory.replicas[kind]
+        names = ranked(self._directory.peers(cfg.data_centre), WATCH_SEED)
+        rank = names.index(cfg.name) if cfg.name in names else len(names)
+        beat_s = WAIT_S[kind]
+        age_s = replica.age_s(self.kernel.now_s()) - beat_s
+        on_duty = should_watch(rank, age_s)
+        if kind is Kind.PLAN and on_duty != self._on_duty:
+            self._on_duty = on_duty
+            emit(WATCH_DUTY, on=on_duty, rank=rank, age_s=round(age_s, 2))
+        return on_duty
+
+    async def _list(self, kind: Kind) -> None:
+        found = await self._store.list_all(kind)
+        self._note(found)
+        if isinstance(found, Unavailable):
+            await sleep(RETRY_S * (1 + self.kernel.rng.random()))
+            return
+        self._learn(kind, found)
+
+    async def _watch(self, kind: Kind) -> None:
+        revision = self._directory.replicas[kind].revision
+        found = await self._store.watch(
+            kind, revision=revision, wait_s=WAIT_S[kind]
+        )
+        self._note(found)
+        match found:
+            case Items():
+                self._learn(kind, found)
+            case Expired():
+                emit(HISTORY_EXPIRED, kind=kind.name, revision=revision)
+                await self._list(kind)
+            case Unavailable():
+                await sleep(RETRY_S * (1 + self.kernel.rng.random()))
+
+    def _learn(self, kind: Kind, found: Items) -> None:
+        if kind is Kind.TARGETS:
+            found = self._mark_lapses(found)
+        before = self._directory.replicas[kind].revision
+        self._directory.learn(kind, found, 0.0)
+        if self._directory.replicas[kind].revision > before and found.items:
+            self._news.push(kind, found)
+
+    def _mark_lapses(self, found: Items) -> Items:
+        """Mark removals that follow an outage, which may be undone soon."""
+        now_s = self.kernel.now_s()
+        replica = self._directory.replicas[Kind.TARGETS]
+        if replica.revision and replica.age_s(now_s) > OUTAGE_S:
+            self._lapsing_until_s = now_s + OUTAGE_S
+        if now_s >= self._lapsing_until_s:
+            return found
+        items = tuple(
+            evolve(each, lapsed=each.data is None) for each in found.items
+        )
+        return evolve(found, items=items)
+
+    def _note(self, found: object) -> None:
+        """Log when the store is lost or regained."""
+        up = not isinstance(found, Unavailable)
+        if up == self._up:
+            return
+        self._up = up
+        if isinstance(found, Unavailable):
+            emit(PLATFORM_DOWN, reason=found.reason)
+        else:
+            emit(PLATFORM_UP)
+
+    async def _heartbeats(self) -> None:
+        while True:
+            await sleep(1.0)
+            if self._on_duty and not self.kernel.draining:
+                self._news.heartbeat()
--- a/carawaylane/kernel/kernel.py
+++ b/carawaylane/kernel/kernel.py
@@ -9,15 +9,14 @@
 from carawaylane.kernel.service import Service, service_classes
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
     from random import Random
 
-    from carawaylane.settings.settings import Settings
-
 
 class Kernel:
     """All services of one node, by name, and its identity and clocks."""
 
-    def __init__(self, *, cfg: Settings, rng: Random) -> None:
+    def __init__(self, *, cfg: Any, rng: Random) -> None:
         self.cfg = cfg
         self.rng = rng
         self.incarnation = int(time() * 1000)
@@ -27,10 +26,11 @@
         self.wake = Event()
         self._services: dict[str, Service] = {}
 
-    def build(self) -> None:
-        """Construct every registered service."""
-        for name, cls in service_classes().items():
-            self._services[name] = cls(kernel=self)
+    def build(self, names: Sequence[str]) -> None:
+        """Construct the named services, in the order of their start."""
+        classes = service_classes()
+        for name in names:
+            self._services[name] = classes[name](kernel=self)
 
     def find(self, name: str) -> Any:
         """Return the service of that name."""
--- a/carawaylane/platform/__init__.py
+++ b/carawaylane/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Driver interface and client of the object API."""
+"""Adapter to the users' platform: its names, formats and calls."""
--- /dev/null
+++ b/carawaylane/rpc/fleet_codec.py
@@ -0,0 +1,152 @@
+"""Conversion between messages of the fleet protocol and their types."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from carawaylane.messages.dispatch import (
+    Ask,
+    Grant,
+    Refuse,
+    Ticket,
+    Turn,
+    Verdict,
+    Wait,
+)
+from carawaylane.messages.stored import Item, Items
+from carawaylane.rpc.fleet_pb2 import Ask as AskPb
+from carawaylane.rpc.fleet_pb2 import Done, Known, Object, Reply
+
+if TYPE_CHECKING:
+    from carawaylane.decisions.belief import Result
+
+
+def pack_ask(ask: Ask, service: str) -> AskPb:
+    """Return an ask in its wire form."""
+    return AskPb(
+        ticket=ask.ticket[1],
+        service=service,
+        route=ask.route,
+        priority=ask.priority,
+        idempotent=ask.idempotent,
+        left_ms=int(ask.left_s * 1000),
+        objective_ms=int(ask.objective_s * 1000),
+        turn=ask.turn.value,  # type: ignore[arg-type]
+        avoid=sorted(ask.avoid),
+        digest=ask.digest,
+        request_id=ask.request_id,
+    )
+
+
+def unpack_ask(msg: AskPb, entry: str, data_centre: str) -> Ask:
+    """Return an ask that an entry sent."""
+    return Ask(
+        ticket=(entry, msg.ticket),
+        data_centre=data_centre,
+        route=msg.route,
+        priority=msg.priority,
+        idempotent=msg.idempotent,
+        left_s=msg.left_ms / 1000,
+        objective_s=msg.objective_ms / 1000,
+        turn=Turn(msg.turn),
+        avoid=frozenset(msg.avoid),
+        digest=msg.digest,
+        request_id=msg.request_id,
+    )
+
+
+def pack_done(
+    ticket: Ticket, service: str, result: Result, took_s: float
+) -> Done:
+    """Return the report on a granted request in its wire form."""
+    return Done(
+        ticket=ticket[1],
+        service=service,
+        result=result.value,  # type: ignore[arg-type]
+        took_ms=int(took_s * 1000),
+    )
+
+
+def pack_verdict(verdict: Verdict) -> Reply:
+    """Return a home's reply in its wire form."""
+    number = verdict.ticket[1]
+    match verdict:
+        case Grant():
+            return Reply(
+                ticket=number,
+                verdict=Reply.GRANT,
+                target=verdict.target,
+                address=verdict.address,
+                hedge_ms=int(verdict.hedge_s * 1000),
+                risk_pct=int(verdict.risk * 100),
+            )
+        case Wait():
+            return Reply(
+                ticket=number,
+                verdict=Reply.WAIT,
+                expect_ms=int(verdict.expect_s * 1000),
+            )
+        case Refuse():
+            return Reply(
+                ticket=number,
+                verdict=Reply.REFUSE,
+                expect_ms=int(verdict.retry_after_s * 1000),
+                reason=verdict.reason,
+            )
+
+
+def unpack_verdict(msg: Reply, entry: str) -> Verdict:
+    """Return a home's reply to an entry."""
+    ticket = (entry, msg.ticket)
+    if msg.verdict == Reply.GRANT:
+        return Grant(
+            ticket=ticket,
+            target=msg.target,
+            address=msg.address,
+            hedge_s=msg.hedge_ms / 1000,
+            risk=msg.risk_pct / 100,
+        )
+    if msg.verdict == Reply.WAIT:
+        return Wait(ticket=ticket, expect_s=msg.expect_ms / 1000)
+    return Refuse(
+        ticket=ticket,
+        retry_after_s=msg.expect_ms / 1000,
+        reason=msg.reason,
+    )
+
+
+def pack_known(kind: int, news: Items, age_s: float) -> Known:
+    """Return news of a collection in their wire form."""
+    return Known(
+        kind=kind,
+        revision=news.revision,
+        base=news.base,
+        items=[
+            Object(
+                name=each.name,
+                revision=each.revision,
+                data=each.data or b'',
+                gone=each.data is None,
+                lapsed=each.lapsed,
+            )
+            for each in news.items
+        ],
+        age_ms=int(min(age_s, 3600.0) * 1000),
+    )
+
+
+def unpack_known(msg: Known) -> Items:
+    """Return news that a peer sent."""
+    return Items(
+        items=tuple(
+            Item(
+                name=each.name,
+                revision=each.revision,
+                data=None if each.gone else each.data,
+                lapsed=each.lapsed,
+            )
+            for each in msg.items
+        ),
+        revision=msg.revision,
+        base=msg.base,
+    )
--- a/carawaylane/services/__init__.py
+++ b/carawaylane/services/__init__.py
@@ -27,6 +27,6 @@
 
 def load_services() -> None:
     """Import every service and driver, so that it registers itself."""
-    import_module('carawaylane.platform.http')
+    import_module('carawaylane.storage.http')
     for name in SERVICE_MODULES:
         import_module(f'carawaylane.services.{name}')
--- a/carawaylane/services/targets.py
+++ b/carawaylane/services/targets.py
@@ -84,6 +84,8 @@
 
     leaving: bool
     late: bool
+    # Another target has the address now.
+    misdirected: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/carawaylane/services/watcher.py
+++ b/carawaylane/services/watcher.py
@@ -9,10 +9,10 @@
 from carawaylane.decisions.placement import rank
 from carawaylane.kernel.service import Service, service
 from carawaylane.messages.logs import Learn
-from carawaylane.platform.driver import Unavailable, make_driver
-from carawaylane.platform.log import Appended, LogStore, Lost
 from carawaylane.rpc.node_pb2 import PullRequest
 from carawaylane.services.relay import CONFIG, FLEET, unpack_batch
+from carawaylane.storage.driver import Unavailable, make_driver
+from carawaylane.storage.log import Appended, LogStore, Lost
 from carawaylane.telemetry.events import (
     JOINED,
     MEMBER_EVICTED,
--- /dev/null
+++ b/carawaylane/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Driver interface and client of the object API."""
--- a/carawaylane/platform/http.py
+++ b/carawaylane/storage/http.py
@@ -6,7 +6,7 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
-from carawaylane.platform.driver import (
+from carawaylane.storage.driver import (
     Conflict,
     HostState,
     Stored,
--- a/carawaylane/platform/log.py
+++ b/carawaylane/storage/log.py
@@ -14,7 +14,7 @@
 from attrs import frozen
 
 from carawaylane.decisions.changelog import Batch, Change
-from carawaylane.platform.driver import (
+from carawaylane.storage.driver import (
     Conflict,
     PlatformDriver,
     Stored,
--- a/carawaylane/telemetry/events.py
+++ b/carawaylane/telemetry/events.py
@@ -84,6 +84,52 @@
     402, 'answer-rejected', _WARN, 'A truncated or crossed answer was refused.'
 )
 RPC_FAILED = _event(500, 'rpc-failed', _INFO, 'A call to another node failed.')
+LINK_OPEN = _event(501, 'link-open', _INFO, 'A stream to a home opened.')
+LINK_LOST = _event(
+    502, 'link-lost', _WARN, 'A stream or a call to another node broke.'
+)
+HOME_SILENT = _event(
+    503, 'home-silent', _WARN, 'A home did not reply; it is avoided a while.'
+)
+SETTINGS_READ = _event(
+    104, 'settings-read', _INFO, 'The settings file was read again.'
+)
+SETTINGS_BAD = _event(
+    105, 'settings-bad', _ERROR, 'The settings file is wrong; it is not used.'
+)
+MEMBERS_MOVED = _event(
+    113, 'members-moved', _INFO, 'The list of nodes changed.'
+)
+TARGETS_MOVED = _event(
+    201, 'targets-moved', _INFO, 'The list of targets changed.'
+)
+ENTRY_UNREADABLE = _event(
+    202, 'entry-unreadable', _WARN, 'An object could not be read; not used.'
+)
+WATCH_DUTY = _event(
+    213, 'watch-duty', _INFO, 'The node begins or ends to watch the store.'
+)
+HISTORY_EXPIRED = _event(
+    214, 'history-expired', _WARN, 'The store dropped history; lists again.'
+)
+REQUEST_GRANTED = _event(
+    600, 'request-granted', _INFO, 'A home chose a target for a request.'
+)
+REQUEST_QUEUED = _event(
+    601, 'request-queued', _INFO, 'A home lets a request wait for a slot.'
+)
+REQUEST_REFUSED = _event(
+    602, 'request-refused', _WARN, 'A home refused a request; it did not run.'
+)
+TARGET_REPORT = _event(
+    603, 'target-report', _INFO, 'A home learned how a request went.'
+)
+TARGET_RESULT = _event(
+    604, 'target-result', _WARN, 'An entry got no answer from a target.'
+)
+REQUEST_ENDED = _event(
+    605, 'request-ended', _INFO, 'An entry answered a caller.'
+)
 
 
 class JsonFormatter(std_logging.Formatter):
--- a/tests/commands/test_commands.py
+++ b/tests/commands/test_commands.py
@@ -17,8 +17,8 @@
 from carawaylane.commands.store import Accepted, Draft, LostRace, change_config
 from carawaylane.config.schema import Target
 from carawaylane.messages.outcomes import Report
-from carawaylane.platform.driver import Unavailable
-from carawaylane.platform.http import HttpDriver
+from carawaylane.storage.driver import Unavailable
+from carawaylane.storage.http import HttpDriver
 from standins.platform import make_app
 
 TEXT = """
--- a/tests/services/conftest.py
+++ b/tests/services/conftest.py
@@ -7,7 +7,7 @@
 
 from carawaylane.config.schema import Service
 from carawaylane.kernel.kernel import Kernel
-from carawaylane.services import load_services
+from carawaylane.services import SERVICE_MODULES, load_services
 from carawaylane.settings.settings import read_settings
 
 GIVEN = [
@@ -25,7 +25,7 @@
     load_services()
     cfg, _ = read_settings(GIVEN, {})
     made = Kernel(cfg=cfg, rng=Random(1))
-    made.build()
+    made.build(SERVICE_MODULES)
     spec = Service(name='s', selector='app=s')
     made.find('relay').config.docs[('Service', 's')] = spec
     names = (
--- a/tests/platform/test_log.py
+++ b/tests/storage/test_log.py
@@ -4,9 +4,9 @@
 
 from carawaylane.config.state import ConfigState
 from carawaylane.decisions.changelog import LogReplica
-from carawaylane.platform.driver import Unavailable
-from carawaylane.platform.http import HttpDriver
-from carawaylane.platform.log import Appended, LogStore, Lost
+from carawaylane.storage.driver import Unavailable
+from carawaylane.storage.http import HttpDriver
+from carawaylane.storage.log import Appended, LogStore, Lost
 from standins.platform import make_app
 
 
--- a/tests/system/conftest.py
+++ b/tests/system/conftest.py
@@ -8,7 +8,7 @@
 from bench.cluster import Cluster
 from carawaylane.commands.change import apply_files
 from carawaylane.commands.store import Accepted
-from carawaylane.platform.http import HttpDriver
+from carawaylane.storage.http import HttpDriver
 
 SERVICES = """
 kind: Service
--- a/tests/system/test_targets.py
+++ b/tests/system/test_targets.py
@@ -4,7 +4,7 @@
 
 from carawaylane.commands.change import drain_targets
 from carawaylane.commands.store import Accepted
-from carawaylane.platform.http import HttpDriver
+from carawaylane.storage.http import HttpDriver
 from tests.system.conftest import fleet, load
 
 # Time for requests that were on their way when a target left; no bound.
