--- a/carawaylane/decisions/dispatcher.py
+++ b/carawaylane/decisions/dispatcher.py
@@ -46,7 +46,11 @@
 COST_BUSY = 0.03
 COST_SLOW = 0.12
 COST_COLD = 0.08
-COST_FAR = 0.02
+COST_FAR = 0.04
+# A target that has joined gets its first request before long, so that its
+# capacity is known when it is needed.
+GAIN_UNTRIED = 0.3
+UNTRIED_AFTER_S = 1.0
 # An idempotent request that is lost can be sent again.
 IDEMPOTENT_RISK = 0.4
 # A request takes this risk at once, and any risk after a share of its
@@ -379,6 +383,9 @@
             cost += COST_COLD
         if known.entry.data_centre != ask.data_centre:
             cost += COST_FAR
+        untried = known.belief.tried_s == float('-inf')
+        if untried and now_s - known.seen_s > UNTRIED_AFTER_S:
+            cost -= GAIN_UNTRIED
         return cost
 
     def _due(self, near: list[TargetState], now_s: float) -> list[TargetState]:
--- a/carawaylane/gateway/callers.py
+++ b/carawaylane/gateway/callers.py
@@ -34,6 +34,8 @@
 # Before the platform kills a stopping process.
 EXIT_MARGIN_S = 0.6
 UNKNOWN_PLAN_RETRY_S = 0.3
+# An answer needs this long to reach a caller before it gives up.
+ANSWER_WAY_S = 0.03
 
 
 @frozen(kw_only=True)
@@ -172,7 +174,7 @@
             return _Problem(status=400, reason='the time left is no number')
         left_s = route.timeout_s
         if says.time_left_s is not None:
-            left_s = min(left_s, says.time_left_s)
+            left_s = min(left_s, says.time_left_s - ANSWER_WAY_S)
         body = await self._body(req, left_s)
         if isinstance(body, _Problem):
             return body
--- a/carawaylane/gateway/forwarding.py
+++ b/carawaylane/gateway/forwarding.py
@@ -147,6 +147,7 @@
         state.running.append(_Send(placed=placed, began_s=now_s, task=task))
         state.avoid.add(grant.target)
         state.reached += 1
+        state.hedge_at_s = float('inf')
         if job.route.idempotent and state.reached < job.route.max_targets:
             state.hedge_at_s = now_s + grant.hedge_s
 
