--- a/carawaylane/gateway/callers.py
+++ b/carawaylane/gateway/callers.py
@@ -29,8 +29,11 @@
 # Connections in the queue of the listening socket.
 BACKLOG = 1024
 DRAIN_POLL_S = 0.02
-# The balancer needs two misses, a second apart, to take a node out.
-LISTEN_ON_S = 2.6
+# A stopping node takes requests until the balancer has surely noticed (two
+# misses, a second apart); then it refuses them until it exits.
+SERVE_ON_S = 2.6
+REFUSE_S = 0.4
+LEAVING_RETRY_S = 0.02
 # Before the platform kills a stopping process.
 EXIT_MARGIN_S = 0.6
 UNKNOWN_PLAN_RETRY_S = 0.3
@@ -79,7 +82,9 @@
         super().__init__(kernel=kernel)
         self._server: AbstractServer | None = None
         self._splitter = Splitter()
-        self._open = 0
+        self._busy: set[web.RequestHandler] = set()
+        # Set once a stop is near: what comes now would not end in time.
+        self._leaving = False
 
     async def start(self) -> None:
         """Open the socket."""
@@ -95,14 +100,23 @@
     async def drain(self) -> None:
         """Let the balancer notice, then finish what is under way."""
         began_s = self.kernel.now_s()
-        await sleep(LISTEN_ON_S)
-        if self._server is not None:
-            self._server.close()
-        self._http.pre_shutdown()
         end_s = began_s + self.kernel.cfg.bounds.grace_s - EXIT_MARGIN_S
-        while self._open and self.kernel.now_s() < end_s:
+        await sleep(SERVE_ON_S)
+        self._leaving = True
+        self._close_idle()
+        await sleep(REFUSE_S)
+        while self._busy and self.kernel.now_s() < end_s:
             await sleep(DRAIN_POLL_S)
 
+    def _close_idle(self) -> None:
+        """Close connections that wait for a request.
+
+        The library's own way swallows a request that crosses the close.
+        """
+        for conn in self._http.connections:
+            if conn not in self._busy and conn.transport is not None:
+                conn.transport.close()
+
     async def stop(self) -> None:
         """Close the socket and the connections."""
         await super().stop()
@@ -135,7 +149,8 @@
     async def handle(self, req: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
         began_s = self.kernel.now_s()
-        self._open += 1
+        conn = req.protocol
+        self._busy.add(conn)
         request_id = ''
         status = 0
         cause = 'caller left'
@@ -151,12 +166,18 @@
             cause = getattr(outcome, 'reason', '')
             return resp
         finally:
-            self._open -= 1
+            self._busy.discard(conn)
             self._note(req, request_id, status, cause, began_s)
 
     async def _job(
         self, req: web.BaseRequest, began_s: float
     ) -> Job | _Problem:
+        if self._leaving:
+            return _Problem(
+                status=503,
+                reason='this node stops',
+                retry_after_s=LEAVING_RETRY_S,
+            )
         host, path = _where(req)
         if host is None:
             return _Problem(status=400, reason='not one host is named')
--- a/carawaylane/gateway/fleet_rpc.py
+++ b/carawaylane/gateway/fleet_rpc.py
@@ -9,7 +9,7 @@
 
 from carawaylane.decisions.belief import Result
 from carawaylane.gateway.dispatchers import AskTarget, EntryLost, TargetDone
-from carawaylane.gateway.links import RPC_ERRORS
+from carawaylane.gateway.links import RPC_ERRORS, send_on
 from carawaylane.kernel.service import Service, service
 from carawaylane.rpc.fleet_codec import pack_verdict, unpack_ask
 from carawaylane.rpc.fleet_grpc import FleetBase
@@ -82,7 +82,7 @@
 async def _write(stream: Any, verdicts: Queue[Verdict]) -> None:
     try:
         while True:
-            await stream.send_message(pack_verdict(await verdicts.get()))
+            await send_on(stream, pack_verdict(await verdicts.get()))
     except RPC_ERRORS:
         # The reader sees the same end and tells the homes.
         return
--- a/carawaylane/gateway/links.py
+++ b/carawaylane/gateway/links.py
@@ -41,6 +41,15 @@
 )
 
 
+async def send_on(stream: Any, msg: Message) -> None:
+    """Send a message; raise one of RPC_ERRORS if the stream is lost."""
+    try:
+        await stream.send_message(msg)
+    except RuntimeError as exc:
+        # How the loop answers a write to a transport that has closed.
+        raise ConnectionResetError(str(exc)) from exc
+
+
 class HomeLink:
     """A stream to the home of services; one task writes, one reads."""
 
@@ -78,7 +87,7 @@
             emit(LINK_OPEN, member=self.member)
             stub = FleetStub(self._channel)
             async with stub.Dispatch.open() as stream:
-                await stream.send_message(hello)
+                await send_on(stream, hello)
                 writer = svc.spawn(self._write(stream))
                 try:
                     await self._read(stream, hello.entry)
@@ -92,7 +101,7 @@
     async def _write(self, stream: Any) -> None:
         with suppress(*RPC_ERRORS):
             while True:
-                await stream.send_message(await self._calls.get())
+                await send_on(stream, await self._calls.get())
 
     async def _read(self, stream: Any, entry: str) -> None:
         while True:
