--- /dev/null
+++ b/bench/dispatch_sim.py
@@ -0,0 +1,278 @@
+"""A service under load in virtual time: what callers get of a dispatcher.
+
+The targets fail gray: each hangs most of what it is sent for a few seconds
+at a time while it seems well. The same seeds are played against a baseline
+that picks any target with a free slot.
+"""
+
+from __future__ import annotations
+
+import argparse
+from heapq import heappop, heappush
+from itertools import count
+from math import log
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+from attrs import Factory, define, frozen
+
+from carawaylane.decisions.belief import Result
+from carawaylane.decisions.dispatcher import Dispatcher
+from carawaylane.messages.dispatch import Ask, Grant, Refuse
+from carawaylane.messages.plan import TargetEntry
+from carawaylane.settings.host import Bounds
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+TICK_S = 0.02
+REPORT_S = 0.002
+
+
+@frozen(kw_only=True)
+class Load:
+    """A service, its targets' failures and its callers; times in seconds."""
+
+    targets: int = 15
+    slots: int = 2
+    rate_per_s: float = 60.0
+    work_s: float = 0.14
+    spread: float = 0.5
+    timeout_s: float = 1.2
+    objective_s: float = 0.6
+    sick_s: float = 2.7
+    well_s: float = 6.3
+    sick_fails: float = 0.75
+    length_s: float = 60.0
+    # From when to when the rate is how many times as high.
+    burst: tuple[float, float, float] = (0.0, 0.0, 1.0)
+
+
+@define(kw_only=True)
+class Tally:
+    """How the requests of a run ended."""
+
+    in_time: int = 0
+    late: int = 0
+    lost: int = 0
+    refused: int = 0
+    refused_after_s: list[float] = Factory(list)
+    by_priority: dict[int, list[int]] = Factory(dict)
+
+    @property
+    def total(self) -> int:
+        """All requests that ended."""
+        return self.in_time + self.late + self.lost + self.refused
+
+    @property
+    def served(self) -> float:
+        """Share that got an answer."""
+        return (self.in_time + self.late) / max(1, self.total)
+
+
+class _Target:
+    """Alternates between well and sick by exponential spells."""
+
+    def __init__(self, *, load: Load, rng: Random) -> None:
+        self._load = load
+        self._rng = rng
+        self._sick = rng.random() < load.sick_s / (load.sick_s + load.well_s)
+        self._until_s = self._spell(0.0)
+        self.running = 0
+
+    def sick(self, now_s: float) -> bool:
+        while now_s >= self._until_s:
+            self._sick = not self._sick
+            self._until_s = self._spell(self._until_s)
+        return self._sick
+
+    def _spell(self, now_s: float) -> float:
+        mean_s = self._load.sick_s if self._sick else self._load.well_s
+        return now_s + self._rng.expovariate(1 / mean_s)
+
+
+class Baseline(Dispatcher):
+    """Picks any free slot, as a balancer of connections would."""
+
+    rng = Random(0)
+
+    def _choose(self, ask: Ask, now_s: float) -> Any:
+        free = [
+            each
+            for each in self.targets.values()
+            if each.free() and each.entry.name not in ask.avoid
+        ]
+        return (self.rng.choice(free), 0.1) if free else None
+
+
+@define(kw_only=True, eq=False)
+class _Job:
+    ask: Ask
+    at_s: float
+    ended: bool = False
+
+
+class Run:
+    """One run of a load against a dispatcher."""
+
+    def __init__(
+        self, *, load: Load, seed: int, make: Callable[..., Dispatcher]
+    ) -> None:
+        self.load = load
+        self.tally = Tally()
+        self._rng = Random(seed)
+        self._events: list[tuple[float, int, Any, tuple[Any, ...]]] = []
+        self._order = count()
+        self._jobs: dict[tuple[str, int], _Job] = {}
+        self.dispatcher = make(service='s', bounds=Bounds())
+        names = [f't{number}' for number in range(load.targets)]
+        self._targets = {
+            name: _Target(load=load, rng=Random(self._rng.random()))
+            for name in names
+        }
+        self.dispatcher.configure(
+            [
+                TargetEntry(
+                    name=name,
+                    service='s',
+                    address='127.0.0.1:1',
+                    data_centre='dc',
+                    slots=load.slots,
+                    leaving=False,
+                )
+                for name in names
+            ],
+            0.0,
+        )
+
+    def play(self) -> Tally:
+        """Return how the requests ended."""
+        self._at(0.0, self._arrive, 1)
+        self._at(0.0, self._tick)
+        while self._events:
+            now_s, _, func, args = heappop(self._events)
+            func(now_s, *args)
+        return self.tally
+
+    def _at(self, at_s: float, func: Any, *args: Any) -> None:
+        heappush(self._events, (at_s, next(self._order), func, args))
+
+    def _arrive(self, now_s: float, number: int) -> None:
+        load = self.load
+        start_s, end_s, factor = load.burst
+        rate = load.rate_per_s
+        rate *= factor if start_s <= now_s < end_s else 1.0
+        if now_s < load.length_s:
+            next_s = now_s + self._rng.expovariate(rate)
+            self._at(next_s, self._arrive, number + 1)
+        ask = Ask(
+            ticket=('e', number),
+            data_centre='dc',
+            route='r',
+            priority=number % 2,
+            idempotent=False,
+            left_s=load.timeout_s,
+            objective_s=load.objective_s,
+        )
+        self._jobs[ask.ticket] = _Job(ask=ask, at_s=now_s)
+        self._take(self.dispatcher.ask(ask, now_s), now_s)
+
+    def _tick(self, now_s: float) -> None:
+        for _, verdict in self.dispatcher.tick(now_s):
+            self._take(verdict, now_s)
+        if now_s < self.load.length_s + 2:
+            self._at(now_s + TICK_S, self._tick)
+
+    def _take(self, verdict: Any, now_s: float) -> None:
+        job = self._jobs[verdict.ticket]
+        if isinstance(verdict, Refuse):
+            self.tally.refused += 1
+            self.tally.refused_after_s.append(now_s - job.at_s)
+            self._end(job, served=False)
+        elif isinstance(verdict, Grant):
+            self._run(job, verdict, now_s)
+
+    def _run(self, job: _Job, grant: Grant, now_s: float) -> None:
+        load = self.load
+        target = self._targets[grant.target]
+        end_s = job.at_s + load.timeout_s
+        took_s = self._rng.lognormvariate(log(load.work_s), load.spread)
+        hangs = target.sick(now_s) and self._rng.random() < load.sick_fails
+        if hangs or now_s + took_s > end_s:
+            self._at(end_s, self._done, job, Result.OVERDUE, now_s)
+        else:
+            self._at(now_s + took_s, self._done, job, Result.ANSWERED, now_s)
+
+    def _done(
+        self, now_s: float, job: _Job, result: Result, sent_s: float
+    ) -> None:
+        if result is not Result.ANSWERED:
+            self.tally.lost += 1
+        elif now_s - job.at_s <= self.load.objective_s:
+            self.tally.in_time += 1
+        else:
+            self.tally.late += 1
+        self._end(job, served=result is Result.ANSWERED)
+        self._at(
+            now_s + REPORT_S, self._report, job, result, now_s - sent_s
+        )
+
+    def _report(
+        self, now_s: float, job: _Job, result: Result, took_s: float
+    ) -> None:
+        self.dispatcher.done(job.ask.ticket, result, took_s, now_s)
+        for _, verdict in self.dispatcher.tick(now_s):
+            self._take(verdict, now_s)
+
+    def _end(self, job: _Job, served: bool) -> None:
+        row = self.tally.by_priority.setdefault(job.ask.priority, [0, 0])
+        row[0] += served
+        row[1] += 1
+
+
+def play(
+    load: Load,
+    seeds: int,
+    make: Callable[..., Dispatcher] = Dispatcher,
+) -> Tally:
+    """Return the sum of some runs."""
+    found = Tally()
+    for seed in range(seeds):
+        tally = Run(load=load, seed=seed, make=make).play()
+        found.in_time += tally.in_time
+        found.late += tally.late
+        found.lost += tally.lost
+        found.refused += tally.refused
+        found.refused_after_s += tally.refused_after_s
+        for priority, (served, total) in tally.by_priority.items():
+            row = found.by_priority.setdefault(priority, [0, 0])
+            row[0] += served
+            row[1] += total
+    return found
+
+
+def main() -> None:
+    """Print what callers get, with and without the dispatcher's choices."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seeds', type=int, default=5)
+    args = parser.parse_args()
+    for name, load in LOADS.items():
+        for make in (Baseline, Dispatcher):
+            found = play(load, args.seeds, make)
+            print(
+                f'{name:10} {make.__name__:10} served {found.served:.4f} '
+                f'in time {found.in_time / found.total:.4f} '
+                f'lost {found.lost / found.total:.4f} '
+                f'refused {found.refused / found.total:.4f}'
+            )
+
+
+LOADS = {
+    'calm': Load(),
+    'peak': Load(rate_per_s=85.0),
+    'crowded': Load(targets=6, rate_per_s=40.0),
+    'overload': Load(targets=6, rate_per_s=80.0),
+}
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,126 @@
+"""Stand-in of the users' object store: lists, watches, writes, faults."""
+
+from __future__ import annotations
+
+from asyncio import Event, sleep, timeout
+from collections import Counter
+from typing import Any
+
+from aiohttp import web
+
+
+class Store:
+    """Objects by kind and name, one revision counter, faults in force."""
+
+    def __init__(self, *, page: int = 50) -> None:
+        self.revision = 1
+        self.objects: dict[str, dict[str, dict[str, Any]]] = {}
+        self.history: list[tuple[int, str, dict[str, Any], bool]] = []
+        self.forgotten = 0
+        self.calls: Counter[str] = Counter()
+        # One of: '', 'busy' (503), 'silent', 'cut'.
+        self.fault = ''
+        self._page = page
+        self._changed = Event()
+
+    def put(self, kind: str, name: str, spec: Any) -> None:
+        """Write an object."""
+        self.revision += 1
+        row = {
+            'metadata': {'name': name, 'revision': self.revision},
+            'spec': spec,
+        }
+        self.objects.setdefault(kind, {})[name] = row
+        self._note(kind, row, False)
+
+    def remove(self, kind: str, name: str) -> bool:
+        """Remove an object."""
+        row = self.objects.get(kind, {}).pop(name, None)
+        if row is None:
+            return False
+        self.revision += 1
+        self._note(kind, row, True)
+        return True
+
+    def forget(self) -> None:
+        """Drop the history that watches need."""
+        self.forgotten = self.revision
+        self.history.clear()
+        self.wake()
+
+    def wake(self) -> None:
+        """Let waiting watches look again."""
+        self._changed.set()
+        self._changed = Event()
+
+    def app(self) -> web.Application:
+        """Return the stand-in as an application."""
+        app = web.Application()
+        app.router.add_route('*', '/objects/{kind}{name:.*}', self._serve)
+        return app
+
+    def _note(self, kind: str, row: dict[str, Any], gone: bool) -> None:
+        self.history.append((self.revision, kind, row, gone))
+        self.wake()
+
+    async def _serve(self, req: web.Request) -> web.Response:
+        self.calls[req.method] += 1
+        if self.fault == 'busy':
+            return web.Response(status=503)
+        if self.fault == 'silent':
+            await sleep(60)
+        if self.fault == 'cut' and req.transport is not None:
+            req.transport.abort()
+        kind = req.match_info['kind']
+        name = req.match_info['name'].lstrip('/')
+        if req.method == 'GET':
+            if 'watch' in req.query:
+                return await self._watch(req, kind)
+            return self._list(req, kind)
+        if req.method == 'DELETE':
+            found = self.remove(kind, name)
+            return web.json_response({}, status=200 if found else 404)
+        row = await req.json()
+        if req.method == 'POST':
+            name = row['metadata']['name']
+            if name in self.objects.get(kind, {}):
+                return web.json_response({}, status=409)
+        elif name not in self.objects.get(kind, {}):
+            return web.json_response({}, status=404)
+        self.put(kind, name, row['spec'])
+        return web.json_response(self.objects[kind][name])
+
+    def _list(self, req: web.Request, kind: str) -> web.Response:
+        rows = self.objects.get(kind, {})
+        names = [n for n in sorted(rows) if n > req.query.get('after', '')]
+        return web.json_response(
+            {
+                'items': [rows[name] for name in names[: self._page]],
+                'more': len(names) > self._page,
+                'current_rev': self.revision,
+            }
+        )
+
+    async def _watch(self, req: web.Request, kind: str) -> web.Response:
+        since = int(req.query['watch'])
+        try:
+            async with timeout(int(req.query['wait_ms']) / 1000):
+                while not self._events(kind, since):
+                    if since < self.forgotten:
+                        return web.json_response({}, status=410)
+                    await self._changed.wait()
+        except TimeoutError:
+            pass
+        return web.json_response(
+            {
+                'events': self._events(kind, since),
+                'current_rev': self.revision,
+            }
+        )
+
+    def _events(self, kind: str, since: int) -> list[dict[str, Any]]:
+        return [
+            {'object': row, 'deleted': gone}
+            for revision, of, row, gone in self.history
+            if revision > since and of == kind
+        ]
--- /dev/null
+++ b/tests/gateway/conftest.py
@@ -0,0 +1,184 @@
+"""Nodes in this process, with stand-ins of the store and of targets."""
+
+from asyncio import open_connection, sleep, start_server, timeout
+from importlib import import_module
+from random import Random
+from socket import socket
+
+import pytest
+from aiohttp import web
+from attrs import define
+
+from carawaylane.gateway.daemon import SERVICES
+from carawaylane.kernel.kernel import Kernel
+from carawaylane.settings.host import Bounds, HostSettings
+from standins.raw_target import RawTarget
+from standins.store import Store
+
+HOST = 'shop.example'
+READY_TIMEOUT_S = 20
+
+
+def free_port():
+    with socket() as sock:
+        sock.bind(('127.0.0.1', 0))
+        return sock.getsockname()[1]
+
+
+def route(name, prefix, *, kind='safe', **changes):
+    return {
+        'name': name,
+        'host': HOST,
+        'path_prefix': prefix,
+        'route_type': kind,
+        'timeout_ms': 1500,
+        'target_latency_ms': 600,
+        'priority': 1,
+        'service': 'stock',
+        'max_attempts': 2,
+    } | changes
+
+
+def plan(version=1, routes=None):
+    routes = routes or [
+        route('read', '/read/'),
+        route('write', '/write/', kind='unsafe'),
+    ]
+    return {'version': version, 'routes': routes, 'limits': {}}
+
+
+@define(kw_only=True)
+class Answer:
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+
+class Fleet:
+    """A store, targets and nodes, all on loopback."""
+
+    def __init__(self):
+        self.store = Store()
+        self.nodes = []
+        self._cleanup = []
+
+    async def open(self):
+        runner = web.AppRunner(self.store.app(), shutdown_timeout=0.1)
+        await runner.setup()
+        site = web.TCPSite(runner, '127.0.0.1', 0)
+        await site.start()
+        self._cleanup.append(runner.cleanup)
+        self.store_address = f'127.0.0.1:{runner.addresses[0][1]}'
+
+    async def target(self, name, answers=None, *, service='stock', slots=2):
+        made = RawTarget(plan=answers) if answers else RawTarget()
+        server = await start_server(made.serve, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+
+        async def close():
+            server.close()
+
+        self._cleanup.append(close)
+        made.close = server.close
+        self.list_target(name, port, service=service, slots=slots)
+        return made
+
+    def list_target(self, name, port, *, service='stock', slots=2):
+        self.store.put(
+            'servers',
+            name,
+            {
+                'service': service,
+                'address': f'127.0.0.1:{port}',
+                'zone': 'z1',
+                'version': 'v1',
+                'slots': slots,
+                'state': 'ready',
+                'warmup_left_ms': 0,
+                'seq': 1,
+            },
+        )
+
+    async def node(self, name, *, ready=True, seeds=(), zone='z1'):
+        for module in SERVICES.values():
+            import_module(module)
+        cfg = HostSettings(
+            name=name,
+            data_centre=zone,
+            listen=f'127.0.0.1:{free_port()}',
+            ready_listen=f'127.0.0.1:{free_port()}',
+            peer_listen=f'127.0.0.1:{free_port()}',
+            metrics_port=free_port(),
+            seeds=tuple(seeds),
+            store_address=self.store_address,
+            cores=1.0,
+            max_fds=1000,
+            bounds=Bounds(),
+        )
+        kernel = Kernel(cfg=cfg, rng=Random(1))
+        kernel.build(tuple(SERVICES))
+        await kernel.start()
+        self.nodes.append(kernel)
+        if ready:
+            await self.until(kernel.find('callers').ready)
+        return kernel
+
+    async def until(self, check):
+        async with timeout(READY_TIMEOUT_S):
+            while not check():
+                await sleep(0.02)
+
+    async def close(self):
+        for node in self.nodes:
+            await node.stop()
+        for step in reversed(self._cleanup):
+            await step()
+
+
+@pytest.fixture
+async def fleet():
+    made = Fleet()
+    await made.open()
+    yield made
+    await made.close()
+
+
+async def connect(node):
+    host, _, port = node.cfg.listen.rpartition(':')
+    return await open_connection(host, int(port))
+
+
+async def send(conn, path, *, method='GET', body=b'', ident='r1', **headers):
+    """Send a request on a connection and return its answer."""
+    reader, writer = conn
+    lines = [
+        f'{method} {path} HTTP/1.1',
+        f'Host: {HOST}',
+        f'Request-Id: {ident}',
+        *(f'{name.replace("_", "-")}: {text}' for name, text in headers.items()),
+    ]
+    if body:
+        lines.append(f'Content-Length: {len(body)}')
+    writer.write('\r\n'.join(lines).encode() + b'\r\n\r\n' + body)
+    head = await reader.readuntil(b'\r\n\r\n')
+    first, *rest = head.decode().strip().split('\r\n')
+    found = {}
+    for line in rest:
+        name, _, text = line.partition(':')
+        found[name.lower()] = text.strip()
+    data = await reader.read(int(found['content-length']) or 0)
+    return Answer(
+        status=int(first.split()[1]),
+        headers=found,
+        body=data,
+        whole=len(data) == int(found['content-length']),
+    )
+
+
+async def ask(node, path, **kwargs):
+    conn = await connect(node)
+    try:
+        return await send(conn, path, **kwargs)
+    finally:
+        conn[1].close()
--- /dev/null
+++ b/tests/gateway/test_exchanges.py
@@ -0,0 +1,161 @@
+"""Only whole answers, each to its own request; nothing runs twice."""
+
+import pytest
+
+from standins.raw_target import OK, Reply
+from tests.gateway.conftest import ask, connect, plan, send
+
+HEAD = b'HTTP/1.1 200 OK\r\nRequest-Id: @ID@\r\nResponse-Seal: s\r\n'
+SHED = (
+    b'HTTP/1.1 503 Service Unavailable\r\nRequest-Id: @ID@\r\n'
+    b'Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+)
+BROKEN = {
+    'truncated': Reply(
+        data=HEAD + b'Content-Length: 9\r\n\r\nabc', end='close'
+    ),
+    'broken chunks': Reply(
+        data=HEAD + b'Transfer-Encoding: chunked\r\n\r\n5\r\nab', end='close'
+    ),
+    'no length, reset': Reply(data=HEAD + b'\r\nabc', end='reset'),
+    'another request': Reply(data=OK.replace(b'@ID@', b'other')),
+    'no answer': Reply(data=b'garbage\r\n\r\n', end='close'),
+    'closed': Reply(data=b'', end='close'),
+    'encoded': Reply(
+        data=HEAD + b'Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok'
+    ),
+}
+
+
+async def pair(fleet, answers):
+    """Start a node with two targets that share a count of requests."""
+    fleet.store.put('config', 'main', plan())
+    sent = []
+
+    def answer(number, data):
+        sent.append(data)
+        return answers[min(len(sent), len(answers)) - 1]
+
+    for name in ('i-1', 'i-2'):
+        await fleet.target(name, answer)
+    return await fleet.node('n1'), sent
+
+
+@pytest.mark.parametrize('name', BROKEN)
+async def test_a_broken_answer_to_an_unsafe_request_is_final(fleet, name):
+    node, sent = await pair(fleet, [BROKEN[name], Reply()])
+    found = await ask(node, '/write/x', method='POST', body=b'1')
+    assert found.status in (502, 504)
+    assert 'response-seal' not in found.headers
+    assert len(sent) == 1
+
+
+@pytest.mark.parametrize('name', BROKEN)
+async def test_a_broken_answer_to_a_safe_request_is_asked_again(fleet, name):
+    node, sent = await pair(fleet, [BROKEN[name], Reply()])
+    found = await ask(node, '/read/x')
+    assert (found.status, found.body) == (200, b'ok')
+    assert len(sent) == 2
+
+
+async def test_an_answer_without_length_that_ends_is_whole(fleet):
+    node, _ = await pair(fleet, [Reply(data=HEAD + b'\r\nabc', end='close')])
+    found = await ask(node, '/write/x', method='POST', body=b'1')
+    assert (found.status, found.body) == (200, b'abc')
+
+
+async def test_an_unsafe_request_that_was_shed_goes_to_another(fleet):
+    node, sent = await pair(fleet, [Reply(data=SHED), Reply()])
+    found = await ask(node, '/write/x', method='POST', body=b'1')
+    assert found.status == 200
+    assert len(sent) == 2
+
+
+async def test_a_request_that_all_targets_shed_has_not_run(fleet):
+    node, sent = await pair(fleet, [Reply(data=SHED)])
+    found = await ask(node, '/write/x', method='POST', body=b'1')
+    assert found.status == 503
+    assert 'not-executed' not in found.headers
+    assert len(sent) == 2
+
+
+async def test_an_error_of_the_target_is_passed_on(fleet):
+    error = OK.replace(b'200 OK', b'500 Internal Server Error')
+    node, sent = await pair(fleet, [Reply(data=error)])
+    found = await ask(node, '/write/x', method='POST', body=b'1')
+    assert found.status == 500
+    assert found.headers['response-seal'] == 's'
+    assert len(sent) == 1
+
+
+async def test_a_second_answer_never_reaches_another_caller(fleet):
+    node, sent = await pair(fleet, [Reply(data=OK + OK), Reply()])
+    conn = await connect(node)
+    for ident in ('r1', 'r2', 'r3'):
+        found = await send(conn, '/read/x', ident=ident)
+        assert found.status == 200
+        assert found.headers['request-id'] == ident
+
+
+async def test_a_connection_that_never_opened_is_no_send(fleet):
+    fleet.store.put('config', 'main', plan())
+    gone = await fleet.target('i-1')
+    gone.close()
+    live = await fleet.target('i-2')
+    node = await fleet.node('n1')
+    for number in range(4):
+        found = await ask(node, '/write/x', method='POST', body=b'1')
+        assert found.status == 200, number
+    assert len(live.seen) == 4
+
+
+async def test_an_address_with_another_target_gets_nothing_more(fleet):
+    moved = (
+        b'HTTP/1.1 421 Misdirected Request\r\nInstance-Id: i-9\r\n'
+        b'Content-Length: 0\r\n\r\n'
+    )
+    fleet.store.put('config', 'main', plan())
+    wrong = await fleet.target('i-1', lambda n, data: Reply(data=moved))
+    right = await fleet.target('i-2')
+    node = await fleet.node('n1')
+    for _ in range(6):
+        found = await ask(node, '/write/x', method='POST', body=b'1')
+        assert found.status == 200
+    assert len(wrong.seen) <= 1
+    assert len(right.seen) == 6
+
+
+async def test_a_hung_lookup_is_sent_once_more_and_no_more(fleet):
+    """Found on the bench: a hedge outlived the second send."""
+    error = OK.replace(b'200 OK', b'500 Internal Server Error')
+    fleet.store.put('config', 'main', plan())
+    sent = []
+
+    def answer(number, data):
+        sent.append(data)
+        if len(sent) == 1:
+            return Reply(data=error, after_s=0.2)
+        return Reply(after_s=0.7)
+
+    for name in ('i-1', 'i-2', 'i-3'):
+        await fleet.target(name, answer)
+    node = await fleet.node('n1')
+    found = await ask(node, '/read/x')
+    assert found.status == 200
+    assert len(sent) == 2
+
+
+async def test_a_hung_lookup_is_hedged(fleet):
+    fleet.store.put('config', 'main', plan())
+    sent = []
+
+    def answer(number, data):
+        sent.append(data)
+        return Reply(hang=len(sent) == 1)
+
+    for name in ('i-1', 'i-2'):
+        await fleet.target(name, answer)
+    node = await fleet.node('n1')
+    found = await ask(node, '/read/x')
+    assert found.status == 200
+    assert len(sent) == 2
