--- a/carawaylane/gateway/callers.py
+++ b/carawaylane/gateway/callers.py
@@ -39,6 +39,7 @@
 UNKNOWN_PLAN_RETRY_S = 0.3
 # An answer needs this long to reach a caller before it gives up.
 ANSWER_WAY_S = 0.03
+SERVED = (200, 201, 202, 204, 404)
 
 
 @frozen(kw_only=True)
@@ -280,6 +281,7 @@
         plan = self._directory.plan
         emit(
             REQUEST_ENDED,
+            failed=status not in SERVED,
             request=request_id,
             method=req.method,
             status=status,
--- a/carawaylane/gateway/daemon.py
+++ b/carawaylane/gateway/daemon.py
@@ -23,7 +23,7 @@
     SETTINGS_BAD,
     SETTINGS_READ,
     emit,
-    setup_logging,
+    log_to_stdout,
 )
 
 if TYPE_CHECKING:
@@ -74,7 +74,7 @@
     if isinstance(cfg, Problem):
         print(f'carawaylane: {cfg}', file=sys.stderr)
         return EXIT_SETTINGS
-    setup_logging(as_json=True, verbosity='info')
+    log = log_to_stdout()
     kernel = Kernel(cfg=cfg, rng=Random())
     reload = Event()
     loop = get_running_loop()
@@ -98,6 +98,7 @@
         await kernel.drain()
     await kernel.stop()
     emit(NODE_STOPPED, member=kernel.member)
+    log.flush_soon()
     return EXIT_BROKEN if kernel.failure is not None else 0
 
 
--- a/carawaylane/gateway/store_watch.py
+++ b/carawaylane/gateway/store_watch.py
@@ -123,7 +123,12 @@
         on_duty = should_watch(rank, age_s)
         if kind is Kind.PLAN and on_duty != self._on_duty:
             self._on_duty = on_duty
-            emit(WATCH_DUTY, on=on_duty, rank=rank, age_s=round(age_s, 2))
+            emit(
+                WATCH_DUTY,
+                on=on_duty,
+                rank=rank,
+                age_s=round(min(age_s, 3600.0), 2),
+            )
         return on_duty
 
     async def _list(self, kind: Kind) -> None:
--- a/carawaylane/telemetry/events.py
+++ b/carawaylane/telemetry/events.py
@@ -11,6 +11,8 @@
 from absl.logging import converter
 from attrs import frozen
 
+from carawaylane.telemetry.log_writer import StdoutHandler
+
 
 @frozen(kw_only=True)
 class Event:
@@ -138,13 +140,17 @@
     def format(self, record: std_logging.LogRecord) -> str:
         """Return the line of a record."""
         row = {
-            'time': record.created,
+            'time': round(record.created, 4),
             'level': record.levelname,
             'event': getattr(record, 'event', 0),
             'name': getattr(record, 'event_name', ''),
-            'message': record.getMessage(),
             **getattr(record, 'fields', {}),
         }
+        if not row['event']:
+            row['message'] = record.getMessage()
+        for name in ('left_out', 'dropped'):
+            if getattr(record, name, 0):
+                row[name] = getattr(record, name)
         return dumps(row, default=str)
 
 
@@ -159,16 +165,37 @@
         logging.get_absl_handler().setFormatter(JsonFormatter())
 
 
+def log_to_stdout() -> StdoutHandler:
+    """Send log lines to standard output as JSON; return their writer."""
+    FLAGS.mark_as_parsed()
+    logging.use_absl_handler()
+    logging.set_verbosity('info')
+    handler = StdoutHandler()
+    handler.setFormatter(JsonFormatter())
+    std_logging.getLogger().handlers = [handler]
+    return handler
+
+
+class _Fields:
+    """Fields as text, made only if a line shows them."""
+
+    def __init__(self, fields: dict[str, Any]) -> None:
+        self._fields = fields
+
+    def __str__(self) -> str:
+        return ' '.join(f'{key}={val}' for key, val in self._fields.items())
+
+
 @logging.skip_log_prefix
-def emit(event: Event, **fields: Any) -> None:
-    """Log an event with its fields."""
-    text = ' '.join(f'{key}={value}' for key, value in fields.items())
+def emit(event: Event, *, failed: bool = False, **fields: Any) -> None:
+    """Log an event with its fields; as a warning if something failed."""
+    level = logging.WARNING if failed else event.level
     logging.get_absl_logger().log(
-        converter.absl_to_standard(event.level),
+        converter.absl_to_standard(level),
         'CL%d %s %s',
         event.number,
         event.name,
-        text,
+        _Fields(fields),
         extra={
             'event': event.number,
             'event_name': event.name,
--- /dev/null
+++ b/carawaylane/telemetry/log_writer.py
@@ -0,0 +1,101 @@
+"""Log lines to standard output: bounded in volume, never blocking."""
+
+from __future__ import annotations
+
+import logging as std_logging
+from os import write
+from queue import Empty, Full, Queue
+from sys import stdout
+from threading import Thread
+from time import monotonic
+
+from attrs import Factory, define
+
+# Lines a second for each event and level; a node at its peak serves 65
+# requests a second (letter 1), each with about three lines. Failures are of
+# another level than successes, so that these never push them out.
+RATE_PER_S = 40.0
+BURST = 80.0
+# Lines that wait for a slow reader, about 1 MB.
+QUEUE_LINES = 4000
+FLUSH_S = 0.3
+
+
+@define(kw_only=True)
+class _Bucket:
+    at_s: float
+    tokens: float = BURST
+    left_out: int = 0
+
+
+@define(kw_only=True)
+class Sieve:
+    """Lets so many lines of one kind through a second."""
+
+    _buckets: dict[tuple[int, int], _Bucket] = Factory(dict)
+
+    def passes(self, event: int, level: int, now_s: float) -> int | None:
+        """Return how many lines were left out before this one.
+
+        None means that this one is left out, too.
+        """
+        key = (event, level)
+        bucket = self._buckets.get(key)
+        if bucket is None:
+            bucket = self._buckets[key] = _Bucket(at_s=now_s)
+        bucket.tokens += (now_s - bucket.at_s) * RATE_PER_S
+        bucket.tokens = min(BURST, bucket.tokens)
+        bucket.at_s = now_s
+        if bucket.tokens < 1:
+            bucket.left_out += 1
+            return None
+        bucket.tokens -= 1
+        left_out, bucket.left_out = bucket.left_out, 0
+        return left_out
+
+
+class StdoutHandler(std_logging.Handler):
+    """Hands lines to a thread that writes them; drops them if it lags."""
+
+    def __init__(self, *, fd: int | None = None) -> None:
+        super().__init__()
+        self.dropped = 0
+        self._fd = stdout.fileno() if fd is None else fd
+        self._sieve = Sieve()
+        self._lines: Queue[bytes] = Queue(QUEUE_LINES)
+        self._thread = Thread(target=self._write, daemon=True)
+        self._thread.start()
+
+    def emit(self, record: std_logging.LogRecord) -> None:
+        """Queue the line of a record, if it may be written."""
+        event = getattr(record, 'event', 0)
+        left_out = self._sieve.passes(event, record.levelno, monotonic())
+        if left_out is None:
+            return
+        record.left_out = left_out
+        record.dropped = self.dropped
+        try:
+            self._lines.put_nowait(self.format(record).encode() + b'\n')
+        except Full:
+            self.dropped += 1
+
+    def flush_soon(self) -> None:
+        """Wait a moment for the lines that are queued."""
+        end_s = monotonic() + FLUSH_S
+        while not self._lines.empty() and monotonic() < end_s:
+            self._thread.join(0.01)
+
+    def _write(self) -> None:
+        while True:
+            data = self._lines.get()
+            try:
+                while len(data) < 65536:
+                    data += self._lines.get_nowait()
+            except Empty:
+                pass
+            try:
+                while data:
+                    data = data[write(self._fd, data) :]
+            except OSError:
+                # Nobody reads the log any more; there is nowhere to say so.
+                return
