--- a/carawaylane/commands/cli.py
+++ b/carawaylane/commands/cli.py
@@ -18,6 +18,7 @@
     drain_targets,
     label_targets,
 )
+from carawaylane.commands.explain import check_boot, explain_request
 from carawaylane.commands.output import render
 from carawaylane.commands.show import (
     ask_node,
@@ -46,6 +47,7 @@
 HELP_OUTPUT = 'table or json.'
 HELP_NODE = 'Administration address of a node; all members by default.'
 HELP_VERSION = 'Refuse if these documents changed after this version.'
+HELP_LOGS = 'Logs of all nodes; standard input by default.'
 HELP_SELECTOR = 'Selector over target labels.'
 
 Platform = Annotated[
@@ -76,6 +78,46 @@
     echo('no errors')
 
 
+@app.command()
+def check_settings(file: Annotated[Path, Argument()]) -> None:
+    """Check a settings file of the users' platform."""
+    found = check_boot(file)
+    if isinstance(found, Problem):
+        _fail(str(found))
+    else:
+        echo(f'no errors; node {found.name} in {found.data_centre}')
+
+
+@app.command()
+def why(
+    request_id: Annotated[str, Argument()],
+    files: Annotated[list[Path] | None, Argument(help=HELP_LOGS)] = None,
+    output: Output = 'table',
+) -> None:
+    """Show what became of a request, and why, from collected logs."""
+    lines: list[str] = []
+    try:
+        for file in files or []:
+            lines += file.read_text(errors='replace').splitlines()
+    except OSError as exc:
+        _fail(str(exc))
+    if not files:
+        lines = sys.stdin.read().splitlines()
+    found = explain_request(request_id, lines)
+    if isinstance(found, Problem):
+        _fail(str(found))
+    elif output == 'json':
+        echo(
+            render(
+                [{'cause': found.cause, 'lines': list(found.rows)}],
+                output=output,
+            )
+        )
+    else:
+        echo(render(found.table(), output=output))
+        echo(f'cause: {found.cause}')
+
+
 @app.command()
 def apply(
     files: Annotated[list[Path], Argument()],
--- a/carawaylane/gateway/callers.py
+++ b/carawaylane/gateway/callers.py
@@ -17,7 +17,12 @@
 from carawaylane.kernel.service import Service, service
 from carawaylane.messages.outcomes import Answered, NotRun, Outcome, Unknown
 from carawaylane.messages.plan import CallerLimits
-from carawaylane.platform.headers import OWN, read_caller, refusal
+from carawaylane.platform.headers import (
+    OWN,
+    read_caller,
+    refusal,
+    request_id_of,
+)
 from carawaylane.services.targets import HOP_HEADERS
 from carawaylane.telemetry.events import REQUEST_ENDED, emit
 
@@ -152,7 +157,7 @@
         began_s = self.kernel.now_s()
         conn = req.protocol
         self._busy.add(conn)
-        request_id = ''
+        request_id = request_id_of(req.headers)
         status = 0
         cause = 'caller left'
         try:
@@ -160,7 +165,6 @@
             if isinstance(made, _Problem):
                 status, cause = made.status, made.reason
                 return self._problem(made)
-            request_id = made.out.request_id
             outcome = await self._forwarding.forward(made)
             resp = self._response(outcome)
             status = resp.status
--- a/carawaylane/platform/headers.py
+++ b/carawaylane/platform/headers.py
@@ -36,6 +36,11 @@
     other_target: bool
 
 
+def request_id_of(headers: Mapping[str, str]) -> str:
+    """Return the id that a caller gave its request, or nothing."""
+    return headers.get(REQUEST_ID, '')
+
+
 def read_caller(headers: Mapping[str, str]) -> CallerSays | None:
     """Return what the headers say; None if the time left is no number."""
     text = headers.get(TIME_LEFT)
