Silence of an entry is not its target's; queues end at the objective; floor on need

Change: entries say at each hedge interval that an exchange is still open, and its age counts only as far as they said so; work of a lost entry says nothing; a queue ends at the objective or half of the time left; the floor's tries wait for a loss of 9 % and for too few targets tried.

--- a/bench/dispatch_sim.py
+++ b/bench/dispatch_sim.py
@@ -199,12 +199,18 @@
         target = self._targets[grant.target]
         end_s = job.at_s + load.timeout_s
         took_s = self._rng.lognormvariate(log(load.work_s), load.spread)
+        self._at(now_s + grant.hedge_s, self._tell, job, grant.hedge_s)
         hangs = target.sick(now_s) and self._rng.random() < load.sick_fails
         if hangs or now_s + took_s > end_s:
             self._at(end_s, self._done, job, Result.OVERDUE, now_s)
         else:
             self._at(now_s + took_s, self._done, job, Result.ANSWERED, now_s)
 
+    def _tell(self, now_s: float, job: _Job, every_s: float) -> None:
+        if not job.ended:
+            self.dispatcher.confirm(job.ask.ticket, now_s)
+            self._at(now_s + max(0.05, every_s), self._tell, job, every_s)
+
     def _done(
         self, now_s: float, job: _Job, result: Result, sent_s: float
     ) -> None:
@@ -225,6 +231,7 @@
             self._take(verdict, now_s)
 
     def _end(self, job: _Job, served: bool) -> None:
+        job.ended = True
         row = self.tally.by_priority.setdefault(job.ask.priority, [0, 0])
         row[0] += served
         row[1] += 1
--- a/carawaylane/decisions/dispatcher.py
+++ b/carawaylane/decisions/dispatcher.py
@@ -49,7 +49,7 @@
 COST_SHED = 0.15
 COST_FAR = 0.04
 # A new connection costs a round trip and a share of a slot's time.
-COST_CONNECT = 0.03
+COST_CONNECT = 0.01
 # For this long an entry surely keeps its connection (see exchanges).
 WARM_S = 4.5
 MAX_WARM = 256
@@ -72,10 +72,16 @@
 PATH_S = 4.0
 # An entry's report is late by this much at most, beyond its deadline.
 REPORT_SLACK_S = 1.0
+# An entry's word that it still waits is late by this much at most.
+CONFIRM_SLACK_S = 0.1
+# Mean exchanges after which a lost entry's work is taken to have ended.
+LOST_HOLDS = 3.0
 # A target that fails work is still counted as capacity below this chance.
 USABLE_RISK = 0.5
 # Share of a mean exchange that must remain when a request is granted.
 MIN_WORK_SHARE = 0.7
+# Share of the time left that may pass in the queue, beyond the objective.
+QUEUE_SHARE = 0.5
 # Work older than this quantile of its route is taken to be stuck.
 STUCK_Z = 2.5
 # A hedge is due once the target is more likely stuck than not, but never
@@ -89,11 +95,13 @@
 CRASH_S = 2.0
 MAX_VICTIMS = 3
 # The floor: while more than this share of a service is lost, each target
-# that has not just failed gets requests within the users' window of 2 s.
+# that has not just failed gets requests within the users' window of 2 s,
+# until the floor's share of them, and a margin, has got some.
 LOSS_WINDOW_S = 2.0
-LOSS_SHARE = 0.07
+LOSS_SHARE = 0.09
 LOSS_MIN = 4
-UNTRIED_S = 1.2
+UNTRIED_S = 1.3
+FLOOR_MARGIN = 0.15
 FIRST_HOLD_S = 0.2
 HOLD_STEP = 0.05
 
@@ -105,6 +113,19 @@
     ask: Ask
     target: str
     at_s: float
+    # When its entry last said that it still waits; until then, silence may
+    # be the entry's.
+    heard_s: float
+    hedge_s: float
+    # The entry is out of touch: nothing more will be heard.
+    lost: bool = False
+
+    def waited_s(self, now_s: float) -> float:
+        """Return for how long the target has surely not answered."""
+        if self.lost:
+            return 0.0
+        known_until_s = self.heard_s + self.hedge_s + CONFIRM_SLACK_S
+        return min(now_s, known_until_s) - self.at_s
 
 
 @define(kw_only=True)
@@ -152,6 +173,7 @@
         self.models: dict[str, LatencyModel] = {}
         self.flights: dict[Ticket, Flight] = {}
         self.quarantine = Quarantine(max_victims=MAX_VICTIMS)
+        self._floor = bounds.floor_share
         self._queue: list[_Queued] = []
         self._hold_s = FIRST_HOLD_S
         self._ended: deque[tuple[float, bool]] = deque()
@@ -195,7 +217,7 @@
         chance = known.belief.now(now_s)
         for flight in known.flights.values():
             model = self._model(flight.ask)
-            survival = model.survival(now_s - flight.at_s)
+            survival = model.survival(flight.waited_s(now_s))
             chance = shifted(chance, hang_ratio(survival))
         return chance
 
@@ -217,7 +239,9 @@
         if ask.turn is Turn.HEDGE:
             return self._refuse(ask, 0.0, 'no free slot for a hedge')
         wait_s = self._wait_s(ahead, now_s)
-        if wait_s + MIN_WORK_SHARE * self._hold_s > ask.left_s:
+        # A long queue makes all its requests late and serves no more of them.
+        limit_s = max(ask.objective_s, QUEUE_SHARE * ask.left_s)
+        if wait_s + MIN_WORK_SHARE * self._hold_s > min(ask.left_s, limit_s):
             return self._last_chance(ask, ahead, wait_s, now_s)
         queued = _Queued(ask=ask, at_s=now_s, deadline_s=now_s + ask.left_s)
         self._queue.append(queued)
@@ -230,9 +254,18 @@
             each for each in self._queue if each.ask.ticket != ticket
         ]
 
+    def confirm(self, ticket: Ticket, now_s: float) -> None:
+        """Note that an entry still waits for a target."""
+        flight = self.flights.get(ticket)
+        if flight is not None:
+            flight.heard_s = now_s
+
     def drop_entry(self, entry: str) -> None:
         """Forget asks of an entry that is gone; its work may go on."""
         self._queue = [each for each in self._queue if each.ask.entry != entry]
+        for flight in self.flights.values():
+            if flight.ask.entry == entry:
+                flight.lost = True
 
     def tick(self, now_s: float) -> list[tuple[Ask, Verdict]]:
         """Return grants and refusals for those who wait."""
@@ -347,17 +380,26 @@
         if risk > max(least, self._accepted_risk(ask, waited_s)):
             return None
         known.belief.tried_s = now_s
-        self._fly(known, ask, now_s)
+        hedge_s = self._hedge_s(ask, risk)
+        self._fly(known, ask, now_s, hedge_s)
         return Grant(
             ticket=ask.ticket,
             target=known.entry.name,
             address=known.entry.address,
-            hedge_s=self._hedge_s(ask, risk),
+            hedge_s=hedge_s,
             risk=risk,
         )
 
-    def _fly(self, known: TargetState, ask: Ask, at_s: float) -> None:
-        flight = Flight(ask=ask, target=known.entry.name, at_s=at_s)
+    def _fly(
+        self, known: TargetState, ask: Ask, at_s: float, hedge_s: float
+    ) -> None:
+        flight = Flight(
+            ask=ask,
+            target=known.entry.name,
+            at_s=at_s,
+            heard_s=at_s,
+            hedge_s=hedge_s,
+        )
         known.flights[ask.ticket] = flight
         self.flights[ask.ticket] = flight
 
@@ -410,13 +452,19 @@
 
     def _due(self, near: list[TargetState], now_s: float) -> list[TargetState]:
         """Return those that the floor wants tried, if it is in danger."""
-        due = [
+        if not self._losing(now_s):
+            return near
+        well = [
             each
-            for each in near
-            if now_s - each.belief.tried_s >= UNTRIED_S
-            and now_s - each.belief.failed_s >= LOSS_WINDOW_S
+            for each in self.targets.values()
+            if each.open() and now_s - each.belief.failed_s > LOSS_WINDOW_S
+        ]
+        untried = [
+            each for each in well if now_s - each.belief.tried_s >= UNTRIED_S
         ]
-        return due if due and self._losing(now_s) else near
+        if len(untried) <= (1 - self._floor - FLOOR_MARGIN) * len(well):
+            return near
+        return [each for each in near if each in untried] or near
 
     def _losing(self, now_s: float) -> bool:
         """Return whether a share of the service's requests is lost."""
@@ -430,7 +478,7 @@
 
     def _stuck(self, flight: Flight, now_s: float) -> bool:
         limit_s = self._model(flight.ask).quantile_s(STUCK_Z)
-        return now_s - flight.at_s > limit_s
+        return flight.waited_s(now_s) > limit_s
 
     def _hedge_s(self, ask: Ask, risk: float) -> float:
         """Return the age at which the target is more likely stuck."""
@@ -498,6 +546,8 @@
         """Drop flights whose entry will not report any more."""
         for ticket, flight in list(self.flights.items()):
             end_s = flight.at_s + flight.ask.left_s + REPORT_SLACK_S
+            if flight.lost:
+                end_s = flight.at_s + LOST_HOLDS * self._hold_s
             if now_s > end_s:
                 # A silent entry says nothing of the target.
                 self.done(ticket, Result.UNUSED, 0.0, now_s)
--- a/carawaylane/gateway/dispatch.py
+++ b/carawaylane/gateway/dispatch.py
@@ -9,11 +9,15 @@
 
 from carawaylane.decisions.belief import Result
 from carawaylane.decisions.spread import ranked
-from carawaylane.gateway.dispatchers import AskTarget, TargetDone
+from carawaylane.gateway.dispatchers import (
+    AskTarget,
+    StillOpen,
+    TargetDone,
+)
 from carawaylane.gateway.links import HomeLink
 from carawaylane.kernel.service import Service, service
 from carawaylane.messages.dispatch import Ask, Grant, Refuse, Verdict, Wait
-from carawaylane.rpc.fleet_codec import pack_ask, pack_done
+from carawaylane.rpc.fleet_codec import pack_ask, pack_done, pack_open
 from carawaylane.rpc.fleet_pb2 import Call
 from carawaylane.telemetry.events import HOME_SILENT, emit
 
@@ -45,6 +49,9 @@
     ) -> None:
         """Report on a granted request, or cancel an ask."""
 
+    def still_open(self, name: str, ticket: Ticket) -> None:
+        """Say that this entry still waits for the target."""
+
 
 class _LocalHome:
     def __init__(self, *, homes: Dispatchers, dispatch: Dispatch) -> None:
@@ -69,6 +76,9 @@
             )
         )
 
+    def still_open(self, name: str, ticket: Ticket) -> None:
+        self._homes.post(StillOpen(service=name, ticket=ticket))
+
 
 class _RemoteHome:
     def __init__(self, *, member: str, dispatch: Dispatch) -> None:
@@ -89,6 +99,10 @@
             msg = pack_done(ticket, name, result, took_s)
             self.link.send(Call(done=msg))
 
+    def still_open(self, name: str, ticket: Ticket) -> None:
+        if self.link is not None and self.link.open:
+            self.link.send(Call(done=pack_open(ticket, name)))
+
     def took(self, verdict: Verdict) -> None:
         name = self._names.get(verdict.ticket)
         if name is not None:
--- a/carawaylane/gateway/dispatchers.py
+++ b/carawaylane/gateway/dispatchers.py
@@ -49,6 +49,14 @@
     took_s: float
 
 
+@frozen(kw_only=True)
+class StillOpen:
+    """An entry still waits for the target that it was granted."""
+
+    service: str
+    ticket: Ticket
+
+
 @frozen(kw_only=True)
 class EntryLost:
     """The stream of an entry ended: nobody waits for its asks."""
@@ -120,6 +128,11 @@
         )
         self._tick(found)
 
+    @handles(StillOpen)
+    def _still_open(self, msg: StillOpen) -> None:
+        found = self.dispatcher(msg.service)
+        found.confirm(msg.ticket, self.kernel.now_s())
+
     @handles(EntryLost)
     def _entry_lost(self, msg: EntryLost) -> None:
         for found in self.dispatchers.values():
--- a/carawaylane/gateway/fleet_rpc.py
+++ b/carawaylane/gateway/fleet_rpc.py
@@ -8,12 +8,17 @@
 from grpclib.server import Server
 
 from carawaylane.decisions.belief import Result
-from carawaylane.gateway.dispatchers import AskTarget, EntryLost, TargetDone
+from carawaylane.gateway.dispatchers import (
+    AskTarget,
+    EntryLost,
+    StillOpen,
+    TargetDone,
+)
 from carawaylane.gateway.links import RPC_ERRORS, send_on
 from carawaylane.kernel.service import Service, service
 from carawaylane.rpc.fleet_codec import pack_verdict, unpack_ask
 from carawaylane.rpc.fleet_grpc import FleetBase
-from carawaylane.rpc.fleet_pb2 import Nothing
+from carawaylane.rpc.fleet_pb2 import Done, Nothing
 
 if TYPE_CHECKING:
     from carawaylane.kernel.kernel import Kernel
@@ -68,6 +73,13 @@
                     reply=verdicts.put_nowait,
                 )
             )
+        elif call.HasField('done') and call.done.result == Done.OPEN:
+            self._homes.post(
+                StillOpen(
+                    service=call.done.service,
+                    ticket=(hello.entry, call.done.ticket),
+                )
+            )
         elif call.HasField('done'):
             self._homes.post(
                 TargetDone(
--- a/carawaylane/gateway/forwarding.py
+++ b/carawaylane/gateway/forwarding.py
@@ -33,7 +33,9 @@
 # An answer that comes in less than this can't be acted on.
 LEAST_LEFT_S = 0.005
 # A hedge that found no good slot is asked for again after this.
-HEDGE_AGAIN_S = 0.15
+HEDGE_AGAIN_S = 0.25
+# Least time between words to a home that an exchange is still open.
+LEAST_TELL_S = 0.05
 
 
 @frozen(kw_only=True)
@@ -54,6 +56,8 @@
     placed: Placed
     began_s: float
     task: Task[Exchange]
+    # When the home is told next that this exchange is still open.
+    tell_at_s: float
 
 
 @define(kw_only=True, eq=False)
@@ -146,7 +150,14 @@
                 grant.target, grant.address, job.out, job.deadline_s - now_s
             )
         )
-        state.running.append(_Send(placed=placed, began_s=now_s, task=task))
+        state.running.append(
+            _Send(
+                placed=placed,
+                began_s=now_s,
+                task=task,
+                tell_at_s=now_s + max(grant.hedge_s, LEAST_TELL_S),
+            )
+        )
         state.avoid.add(grant.target)
         state.reached += 1
         state.hedge_at_s = float('inf')
@@ -156,18 +167,18 @@
     async def _await_turn(self, state: _Progress) -> Turn | Outcome:
         """Wait for an outcome, or for a reason to send once more."""
         while state.running:
-            now_s = self.kernel.now_s()
-            limit_s = None
-            if state.hedge_at_s < float('inf'):
-                limit_s = max(0.0, state.hedge_at_s - now_s)
+            next_s = min(send.tell_at_s for send in state.running)
+            next_s = min(next_s, state.hedge_at_s) - self.kernel.now_s()
             done, _ = await wait(
                 [send.task for send in state.running],
-                timeout=limit_s,
+                timeout=max(0.0, next_s),
                 return_when=FIRST_COMPLETED,
             )
             if not done:
-                state.hedge_at_s = float('inf')
-                return Turn.HEDGE
+                self._tell_open(state)
+                if self.kernel.now_s() >= state.hedge_at_s:
+                    state.hedge_at_s = float('inf')
+                    return Turn.HEDGE
             for send in [s for s in state.running if s.task in done]:
                 state.running.remove(send)
                 found = self._conclude(state, send)
@@ -177,6 +188,17 @@
                     return found
         return self._failed(state)
 
+    def _tell_open(self, state: _Progress) -> None:
+        """Tell homes of exchanges that are still open, when it is due."""
+        now_s = self.kernel.now_s()
+        for send in state.running:
+            if now_s >= send.tell_at_s:
+                placed = send.placed
+                placed.home.still_open(placed.service, placed.grant.ticket)
+                send.tell_at_s = now_s + max(
+                    placed.grant.hedge_s, LEAST_TELL_S
+                )
+
     def _conclude(
         self, state: _Progress, send: _Send
     ) -> Turn | Outcome | None:
--- a/carawaylane/rpc/fleet_codec.py
+++ b/carawaylane/rpc/fleet_codec.py
@@ -67,6 +67,11 @@
     )
 
 
+def pack_open(ticket: Ticket, service: str) -> Done:
+    """Return the word that an entry still waits for a target."""
+    return Done(ticket=ticket[1], service=service, result=Done.OPEN)
+
+
 def pack_verdict(verdict: Verdict) -> Reply:
     """Return a home's reply in its wire form."""
     number = verdict.ticket[1]
--- a/standins/raw_target.py
+++ b/standins/raw_target.py
@@ -3,15 +3,12 @@
 from __future__ import annotations
 
 from asyncio import IncompleteReadError, StreamReader, StreamWriter, sleep
+from collections.abc import Callable
 from socket import SO_LINGER, SOL_SOCKET
 from struct import pack
-from typing import TYPE_CHECKING
 
 from attrs import Factory, define
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
 # In an answer, stands for the id of the request.
 ID = b'@ID@'
 OK = (
