--- a/carawaylane/decisions/dispatcher.py
+++ b/carawaylane/decisions/dispatcher.py
@@ -285,6 +285,13 @@
         """Return how many asks wait."""
         return len(self._queue)
 
+    def doubted(self, now_s: float) -> int:
+        """Return how many targets are more likely failing than not."""
+        return sum(
+            self.risk(each, now_s) >= USABLE_RISK
+            for each in self.targets.values()
+        )
+
     # Results
 
     def done(
--- a/carawaylane/gateway/status.py
+++ b/carawaylane/gateway/status.py
@@ -8,11 +8,14 @@
 
 from carawaylane.kernel.service import Service, service
 from carawaylane.platform.headers import READY_PATH
+from carawaylane.telemetry.events import dropped_lines
 
 if TYPE_CHECKING:
     from carawaylane.kernel.kernel import Kernel
 
 METRICS_PATH = '/metrics'
+# Shown for a copy that was never confirmed.
+MAX_AGE_S = 3600.0
 
 
 @service('status')
@@ -27,6 +30,9 @@
         """Open the sockets."""
         self._callers = self.kernel.find('callers')
         self._metrics = self.kernel.find('telemetry').metrics
+        self._directory = self.kernel.find('directory')
+        self._dispatchers = self.kernel.find('dispatchers')
+        self._exchanges = self.kernel.find('exchanges')
         server = web.Server(self._handle, access_log=None)
         self._runner = web.ServerRunner(server)
         await self._runner.setup()
@@ -45,7 +51,29 @@
         if req.path == READY_PATH:
             return web.Response(status=200 if self._callers.ready() else 503)
         if req.path == METRICS_PATH:
+            self._measure()
             return web.Response(
                 body=self._metrics.page(), content_type='text/plain'
             )
         return web.Response(status=404)
+
+    def _measure(self) -> None:
+        """Set the gauges to what holds now."""
+        gauge = self._metrics.gauge
+        plan = self._directory.plan
+        now_s = self.kernel.now_s()
+        gauge('ready', int(self._callers.ready()))
+        gauge('plan_version', plan.version if plan else 0)
+        gauge('targets', len(self._directory.targets))
+        gauge('members', len(self._directory.members))
+        gauge('connections_opened', self._exchanges.opened)
+        gauge('log_dropped', dropped_lines())
+        for kind, replica in self._directory.replicas.items():
+            age_s = min(replica.age_s(now_s), MAX_AGE_S)
+            gauge(f'copy_age_seconds_{kind.name.lower()}', age_s)
+        found = self._dispatchers.dispatchers.values()
+        gauge('queue', sum(each.waiting() for each in found))
+        gauge(
+            'targets_doubted',
+            sum(each.doubted(now_s) for each in found),
+        )
--- a/carawaylane/telemetry/events.py
+++ b/carawaylane/telemetry/events.py
@@ -176,6 +176,15 @@
     return handler
 
 
+def dropped_lines() -> int:
+    """Return how many lines a slow reader of standard output has cost."""
+    return sum(
+        each.dropped
+        for each in std_logging.getLogger().handlers
+        if isinstance(each, StdoutHandler)
+    )
+
+
 class _Fields:
     """Fields as text, made only if a line shows them."""
 
--- a/standins/store.py
+++ b/standins/store.py
@@ -105,7 +105,9 @@
         since = int(req.query['watch'])
         try:
             async with timeout(int(req.query['wait_ms']) / 1000):
-                while not self._events(kind, since):
+                while self.fault or not self._events(kind, since):
+                    if self.fault:
+                        return web.Response(status=503)
                     if since < self.forgotten:
                         return web.json_response({}, status=410)
                     await self._changed.wait()
--- /dev/null
+++ b/tests/gateway/test_fleet.py
@@ -0,0 +1,144 @@
+"""Several nodes: news, homes, and the store's troubles."""
+
+from asyncio import gather, sleep
+
+from carawaylane.decisions.spread import ranked
+from carawaylane.gateway.directory import LAPSE_S
+from carawaylane.messages.stored import Kind
+from tests.gateway.conftest import ask, plan, route
+
+
+async def three(fleet):
+    fleet.store.put('config', 'main', plan())
+    return await gather(*(fleet.node(f'n{number}') for number in range(3)))
+
+
+def calls(fleet):
+    return sum(fleet.store.calls.values())
+
+
+async def test_one_node_watches_and_all_learn(fleet):
+    nodes = await three(fleet)
+    await sleep(1.0)
+    fleet.store.calls.clear()
+    newer = plan(2, [route('new', '/new/')])
+    fleet.store.put('config', 'main', newer)
+    for node in nodes:
+        directory = node.find('directory')
+        await fleet.until(lambda d=directory: d.plan.version == 2)
+    # The change itself costs the data centre one call, not one a node.
+    assert calls(fleet) <= 2
+
+
+async def test_a_node_that_the_store_turns_away_learns_from_peers(fleet):
+    first = await fleet.node('n1', ready=False)
+    fleet.store.put('config', 'main', plan(3))
+    await fleet.until(first.find('callers').ready)
+    fleet.store.fault = 'busy'
+    second = await fleet.node('n2', seeds=[first.cfg.peer_listen])
+    assert second.find('directory').plan.version == 3
+
+
+async def test_a_watch_that_lost_its_history_lists_again(fleet):
+    fleet.store.put('config', 'main', plan())
+    node = await fleet.node('n1')
+    directory = node.find('directory')
+    for number in range(120):
+        fleet.list_target(f'i-{number:03}', 9)
+    await fleet.until(lambda: len(directory.targets) == 120)
+    fleet.store.remove('servers', 'i-007')
+    fleet.store.forget()
+    await fleet.until(lambda: len(directory.targets) == 119)
+
+
+async def test_an_entry_that_cannot_be_read_spoils_no_other(fleet):
+    fleet.store.put('config', 'main', plan())
+    for number, spec in enumerate(
+        ['text', None, {}, {'service': 'stock', 'slots': 'two'}, [1]]
+    ):
+        fleet.store.put('servers', f'bad-{number}', spec)
+    await fleet.target('i-1')
+    node = await fleet.node('n1')
+    assert list(node.find('directory').targets) == ['i-1']
+    assert (await ask(node, '/read/x')).status == 200
+
+
+async def test_entries_that_lapse_in_an_outage_are_kept_a_while(fleet):
+    fleet.store.put('config', 'main', plan())
+    await fleet.target('i-1')
+    await fleet.target('i-2')
+    node = await fleet.node('n1')
+    directory = node.find('directory')
+    await fleet.until(lambda: len(directory.targets) == 2)
+    fleet.store.fault = 'busy'
+    fleet.store.wake()
+    kept = fleet.store.objects['servers']['i-1']['spec']
+    fleet.store.remove('servers', 'i-1')
+    fleet.store.remove('servers', 'i-2')
+    await sleep(5.5)
+    fleet.store.fault = ''
+    replica = directory.replicas[Kind.TARGETS]
+    await fleet.until(lambda: replica.items['i-1'].data is None)
+    assert set(directory.targets) == {'i-1', 'i-2'}
+    assert (await ask(node, '/read/x')).status == 200
+    fleet.store.put('servers', 'i-1', kept)
+    await sleep(LAPSE_S + 0.5)
+    assert set(directory.targets) == {'i-1'}
+
+
+async def test_a_home_that_dies_is_replaced_within_a_request(fleet):
+    nodes = await three(fleet)
+    await fleet.target('i-1')
+    members = nodes[0].find('directory').members
+    await fleet.until(lambda: len(members) == 3)
+    names = ranked(members.values(), 'stock')
+    by_name = {node.cfg.name: node for node in nodes}
+    home, entry = by_name[names[0]], by_name[names[2]]
+    assert (await ask(entry, '/read/1')).status == 200
+    assert home.find('dispatchers').dispatchers['stock'].targets
+    await home.find('fleet_rpc').stop()
+    assert (await ask(entry, '/read/2')).status == 200
+    second = by_name[names[1]].find('dispatchers')
+    assert 'stock' in second.dispatchers
+
+
+async def test_a_home_that_is_silent_is_passed_over(fleet):
+    nodes = await three(fleet)
+    await fleet.target('i-1')
+    members = nodes[0].find('directory').members
+    await fleet.until(lambda: len(members) == 3)
+    names = ranked(members.values(), 'stock')
+    by_name = {node.cfg.name: node for node in nodes}
+    home, entry = by_name[names[0]], by_name[names[2]]
+    assert (await ask(entry, '/read/1')).status == 200
+    # Frozen: it takes messages and answers nothing.
+    home.find('dispatchers').post = lambda msg: None
+    assert (await ask(entry, '/write/2', method='POST')).status == 200
+    assert names[0] in entry.find('dispatch')._suspects
+
+
+async def test_a_write_to_a_closed_stream_stops_no_node(fleet):
+    """Found on the bench: the loop's RuntimeError ended three processes."""
+    nodes = await three(fleet)
+    await fleet.target('i-1')
+    for number in range(5):
+        for node in nodes:
+            links = node.find('dispatch')._remote.values()
+            for home in links:
+                if home.link is not None and home.link._channel is not None:
+                    protocol = home.link._channel._protocol
+                    if protocol is not None:
+                        protocol.connection.close()
+        done = await gather(*(ask(node, f'/read/{number}') for node in nodes))
+        assert {found.status for found in done} == {200}
+    assert all(node.failure is None for node in nodes)
+
+
+async def test_a_planned_stop_takes_the_node_off_the_list_first(fleet):
+    nodes = await three(fleet)
+    members = nodes[0].find('directory').members
+    await fleet.until(lambda: len(members) == 3)
+    leaver = nodes[2]
+    leaver.draining = True
+    await leaver.find('store_watch').drain()
+    await fleet.until(lambda: leaver.cfg.name not in members)
--- /dev/null
+++ b/tests/gateway/test_status.py
@@ -0,0 +1,43 @@
+"""Readiness and metrics of a node."""
+
+from aiohttp import ClientSession
+
+from tests.gateway.conftest import ask, plan
+
+
+async def get(address, path):
+    async with (
+        ClientSession() as session,
+        session.get(f'http://{address}{path}') as resp,
+    ):
+        return resp.status, await resp.text()
+
+
+async def test_a_node_is_ready_once_it_knows_a_configuration(fleet):
+    node = await fleet.node('n1', ready=False)
+    assert (await get(node.cfg.ready_listen, '/ready'))[0] == 503
+    fleet.store.put('config', 'main', plan())
+    await fleet.until(node.find('callers').ready)
+    assert (await get(node.cfg.ready_listen, '/ready'))[0] == 200
+    node.draining = True
+    assert (await get(node.cfg.ready_listen, '/ready'))[0] == 503
+
+
+async def test_the_metrics_page_tells_what_operators_look_for(fleet):
+    fleet.store.put('config', 'main', plan(4))
+    await fleet.target('i-1')
+    node = await fleet.node('n1')
+    await ask(node, '/read/x')
+    address = f'127.0.0.1:{node.cfg.metrics_port}'
+    status, text = await get(address, '/metrics')
+    assert status == 200
+    for line in (
+        'carawaylane_plan_version 4.0',
+        'carawaylane_targets 1.0',
+        'carawaylane_ready 1.0',
+        'carawaylane_requests_total{status="200"} 1.0',
+        'carawaylane_exchanges_total{result="ANSWERED"} 1.0',
+    ):
+        assert line in text
+    for name in ('queue', 'log_dropped', 'request_p99_ms', 'target_p99_ms'):
+        assert f'carawaylane_{name} ' in text
