--- /dev/null
+++ b/bench/gateway_slopes.py
@@ -0,0 +1,133 @@
+"""Slopes of the gateway profile: what a decision costs, and its size."""
+
+from __future__ import annotations
+
+from random import Random
+from time import process_time
+
+from carawaylane.decisions.belief import Result
+from carawaylane.decisions.dispatcher import Dispatcher
+from carawaylane.decisions.replica import Replica
+from carawaylane.decisions.spread import ranked
+from carawaylane.messages.dispatch import Ask, Grant
+from carawaylane.messages.plan import Member, TargetEntry
+from carawaylane.messages.stored import Item, Items
+from carawaylane.rpc.fleet_codec import pack_ask, pack_done, pack_verdict
+from carawaylane.settings.host import Bounds
+
+ASKS = 400
+
+
+def _ask(number: int) -> Ask:
+    return Ask(
+        ticket=('front-heredia-1@1700000000000', number),
+        data_centre='dc',
+        route='r-9n73hh2',
+        priority=1,
+        idempotent=False,
+        left_s=2.0,
+        objective_s=0.6,
+        digest=1 << 60,
+        request_id='9c41d07be2a35f68',
+    )
+
+
+def ask_us(targets: int) -> float:
+    """Return processor time of an ask with its report, half busy."""
+    found = Dispatcher(service='s', bounds=Bounds())
+    found.configure(
+        [
+            TargetEntry(
+                name=f'i-{number:08}',
+                service='s',
+                address='10.0.0.1:80',
+                data_centre='dc',
+                slots=4,
+                leaving=False,
+            )
+            for number in range(targets)
+        ],
+        0.0,
+    )
+    rng = Random(1)
+    open_asks: list[Ask] = []
+    began = process_time()
+    for number in range(ASKS):
+        now_s = number * 0.2 / (2 * targets)
+        ask = _ask(number)
+        if isinstance(found.ask(ask, now_s), Grant):
+            open_asks.append(ask)
+        if len(open_asks) > 2 * targets:
+            done = open_asks.pop(rng.randrange(len(open_asks)))
+            found.done(done.ticket, Result.ANSWERED, 0.2, now_s)
+    return (process_time() - began) / ASKS * 1e6
+
+
+def rank_us(members: int) -> float:
+    """Return processor time of ranking members for a service."""
+    found = [
+        Member(name=f'n{n}', address='10.0.0.1:1', data_centre='d', cores=1.0)
+        for n in range(members)
+    ]
+    began = process_time()
+    for number in range(50):
+        ranked(found, f's{number}')
+    return (process_time() - began) / 50 * 1e6
+
+
+def take_us(items: int) -> float:
+    """Return processor time of taking one change in a copy of that size."""
+    copy = Replica()
+    copy.take(
+        Items(
+            items=tuple(
+                Item(name=f'i{n}', revision=1, data=b'x') for n in range(items)
+            ),
+            revision=1,
+        ),
+        0.0,
+    )
+    began = process_time()
+    for number in range(2, 202):
+        news = Items(
+            items=(Item(name='i1', revision=number, data=b'y'),),
+            revision=number,
+            base=number - 1,
+        )
+        copy.take(news, 0.0)
+    return (process_time() - began) / 200 * 1e6
+
+
+def grant_bytes() -> int:
+    """Return the bytes of an ask, its grant and its report."""
+    ask = _ask(1)
+    grant = Grant(
+        ticket=ask.ticket,
+        target='i-7f3a91c2',
+        address='10.128.0.9:8080',
+        hedge_s=0.4,
+        risk=0.1,
+    )
+    return sum(
+        msg.ByteSize()
+        for msg in (
+            pack_ask(ask, 'wuno96b'),
+            pack_verdict(grant),
+            pack_done(ask.ticket, 'wuno96b', Result.ANSWERED, 0.2),
+        )
+    )
+
+
+def main() -> None:
+    """Print the slopes."""
+    for targets in (10, 35, 100, 200):
+        print(f'ask with {targets} targets: {ask_us(targets):.0f} us')
+    for members in (44, 130, 1400):
+        print(f'rank of {members} members: {rank_us(members):.0f} us')
+    for items in (100, 1000, 23000):
+        print(f'change in a copy of {items}: {take_us(items):.0f} us')
+    print(f'ask, grant and report: {grant_bytes()} bytes')
+
+
+if __name__ == '__main__':
+    main()
--- a/carawaylane/gateway/directory.py
+++ b/carawaylane/gateway/directory.py
@@ -9,6 +9,7 @@
 
 from carawaylane.decisions.replica import Replica
 from carawaylane.decisions.route_table import RouteTable
+from carawaylane.decisions.spread import ranked
 from carawaylane.kernel.service import Actor, Service, service
 from carawaylane.messages.plan import Member, Plan, TargetEntry, Unreadable
 from carawaylane.messages.stored import Item, Items, Kind
@@ -54,6 +55,7 @@
         self.targets: dict[str, TargetEntry] = {}
         self.members: dict[str, Member] = {}
         self._followers: list[Actor] = []
+        self._ranks: dict[tuple[str, str | None], list[str]] = {}
 
     def tell(self, follower: Actor) -> None:
         """Post changes of targets to an actor from now on."""
@@ -71,6 +73,20 @@
             if data_centre in (None, each.data_centre)
         ]
 
+    def add_member(self, member: Member) -> None:
+        """Add a node that the store may not show yet."""
+        self.members[member.name] = member
+        self._ranks.clear()
+
+    def rank(self, seed: str, data_centre: str | None = None) -> list[str]:
+        """Return the names of members by rank for a seed."""
+        key = (seed, data_centre)
+        found = self._ranks.get(key)
+        if found is None:
+            found = ranked(self.peers(data_centre), seed)
+            self._ranks[key] = found
+        return found
+
     def learn(self, kind: Kind, news: Items, age_s: float) -> bool:
         """Take in news; False if changes before them are missing."""
         now_s = self.kernel.now_s()
@@ -145,6 +161,7 @@
             follower.post(TargetsChanged(services=frozenset(touched)))
 
     def _members(self, items: Iterable[Item]) -> None:
+        self._ranks.clear()
         for item in items:
             found = None
             if item.data is not None:
--- a/carawaylane/gateway/dispatch.py
+++ b/carawaylane/gateway/dispatch.py
@@ -8,7 +8,6 @@
 from attrs import Factory, define, frozen
 
 from carawaylane.decisions.belief import Result
-from carawaylane.decisions.spread import ranked
 from carawaylane.gateway.dispatchers import (
     AskTarget,
     StillOpen,
@@ -238,13 +237,13 @@
     def _candidates(self, name: str) -> list[str]:
         now_s = self.kernel.now_s()
         own = self.kernel.cfg.name
-        known = [
-            each
-            for each in self._directory.members.values()
-            if (held := self._suspects.get(each.name)) is None
-            or held.until_s <= now_s
-        ]
-        found = ranked(known, name)[:HOMES_TRIED]
+        found: list[str] = []
+        for each in self._directory.rank(name):
+            held = self._suspects.get(each)
+            if held is None or held.until_s <= now_s:
+                found.append(each)
+            if len(found) == HOMES_TRIED:
+                break
         if own in found:
             return found[: found.index(own) + 1]
         return [*found, own]
--- a/carawaylane/gateway/news.py
+++ b/carawaylane/gateway/news.py
@@ -5,7 +5,7 @@
 from asyncio import gather, sleep
 from typing import TYPE_CHECKING
 
-from carawaylane.decisions.spread import WATCH_SEED, children, ranked
+from carawaylane.decisions.spread import WATCH_SEED, children
 from carawaylane.kernel.service import Service, service
 from carawaylane.messages.stored import Items, Kind
 from carawaylane.rpc.fleet_codec import pack_known, unpack_known
@@ -147,8 +147,8 @@
         own = self.kernel.cfg.data_centre
         centres = {each.data_centre for each in members.values()} - {own}
         for centre in sorted(centres):
-            names = ranked(self._directory.peers(centre), WATCH_SEED)
-            found += [members[name].address for name in names[:FAR_NODES]]
+            names = self._directory.rank(WATCH_SEED, centre)[:FAR_NODES]
+            found += [members[name].address for name in names]
         return found
 
     async def _ask_loop(self) -> None:
--- a/carawaylane/gateway/store_watch.py
+++ b/carawaylane/gateway/store_watch.py
@@ -7,7 +7,7 @@
 
 from attrs import evolve
 
-from carawaylane.decisions.spread import WATCH_SEED, ranked, should_watch
+from carawaylane.decisions.spread import WATCH_SEED, should_watch
 from carawaylane.kernel.service import Service, service
 from carawaylane.messages.plan import Member
 from carawaylane.messages.stored import Items, Kind
@@ -77,7 +77,7 @@
             data_centre=cfg.data_centre,
             cores=cfg.cores,
         )
-        self._directory.members[own.name] = own
+        self._directory.add_member(own)
         self.spawn(self._register(own))
         await sleep(SETTLE_S * (0.5 + self.kernel.rng.random()))
         while not self.kernel.draining:
@@ -116,7 +116,7 @@
     def _duty(self, kind: Kind) -> bool:
         cfg = self.kernel.cfg
         replica = self._directory.replicas[kind]
-        names = ranked(self._directory.peers(cfg.data_centre), WATCH_SEED)
+        names = self._directory.rank(WATCH_SEED, cfg.data_centre)
         rank = names.index(cfg.name) if cfg.name in names else len(names)
         beat_s = WAIT_S[kind]
         age_s = replica.age_s(self.kernel.now_s()) - beat_s
