--- a/carawaylane/decisions/dispatcher.py
+++ b/carawaylane/decisions/dispatcher.py
@@ -13,7 +13,7 @@
 from statistics import NormalDist
 from typing import TYPE_CHECKING
 
-from attrs import Factory, define
+from attrs import define
 
 from carawaylane.decisions.belief import (
     FAILS_FAILING,
@@ -24,6 +24,7 @@
     hang_ratio,
     shifted,
 )
+from carawaylane.decisions.held import Flight, TargetState
 from carawaylane.decisions.poison import Quarantine
 from carawaylane.decisions.retry_window import RetryWindow
 from carawaylane.messages.dispatch import (
@@ -35,11 +36,11 @@
     Verdict,
     Wait,
 )
-from carawaylane.messages.plan import TargetEntry
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from carawaylane.messages.plan import TargetEntry
     from carawaylane.settings.host import Bounds
 
 # Costs of a choice, in units of a lost request.
@@ -50,9 +51,6 @@
 COST_FAR = 0.04
 # A new connection costs a round trip and a share of a slot's time.
 COST_CONNECT = 0.01
-# For this long an entry surely keeps its connection (see exchanges).
-WARM_S = 4.5
-MAX_WARM = 256
 # A target that has joined gets its first request before long, so that its
 # capacity is known when it is needed.
 GAIN_UNTRIED = 0.3
@@ -72,8 +70,6 @@
 PATH_S = 4.0
 # An entry's report is late by this much at most, beyond its deadline.
 REPORT_SLACK_S = 1.0
-# An entry's word that it still waits is late by this much at most.
-CONFIRM_SLACK_S = 0.1
 # Mean exchanges after which a lost entry's work is taken to have ended.
 LOST_HOLDS = 3.0
 # A target that fails work is still counted as capacity below this chance.
@@ -106,28 +102,6 @@
 HOLD_STEP = 0.05
 
 
-@define(kw_only=True)
-class Flight:
-    """A granted request."""
-
-    ask: Ask
-    target: str
-    at_s: float
-    # When its entry last said that it still waits; until then, silence may
-    # be the entry's.
-    heard_s: float
-    hedge_s: float
-    # The entry is out of touch: nothing more will be heard.
-    lost: bool = False
-
-    def waited_s(self, now_s: float) -> float:
-        """Return for how long the target has surely not answered."""
-        if self.lost:
-            return 0.0
-        known_until_s = self.heard_s + self.hedge_s + CONFIRM_SLACK_S
-        return min(now_s, known_until_s) - self.at_s
-
-
 @define(kw_only=True)
 class _Queued:
     ask: Ask
@@ -135,35 +109,6 @@
     deadline_s: float
 
 
-@define(kw_only=True)
-class TargetState:
-    """A target with what runs there and what is believed of it."""
-
-    entry: TargetEntry
-    belief: Belief
-    seen_s: float
-    flights: dict[Ticket, Flight] = Factory(dict)
-    # Until when an entry avoids the target, since it could not reach it.
-    paths: dict[str, float] = Factory(dict)
-    # When an entry last got an answer: its connection is kept for a while.
-    warm: dict[str, float] = Factory(dict)
-    # Digests of requests whose exchange broke off, and when.
-    broke: dict[int, float] = Factory(dict)
-    gone: bool = False
-
-    def open(self) -> bool:
-        """Return whether the target may get new work."""
-        return not self.entry.leaving and not self.gone
-
-    def free(self) -> bool:
-        """Return whether a slot is free."""
-        return len(self.flights) < self.entry.slots
-
-    def cold(self, now_s: float) -> bool:
-        """Return whether the target has just started."""
-        return now_s - self.seen_s < self.entry.cold_s
-
-
 class Dispatcher:
     """All targets of a service, its queue and its budgets."""
 
@@ -205,13 +150,6 @@
                 known.seen_s = now_s
                 known.entry = entry
 
-    def inherit(self, target: str, chance: float, at_s: float) -> None:
-        """Take over what another home believed of a target."""
-        known = self.targets.get(target)
-        if known is not None and known.belief.at_s < at_s:
-            known.belief.chance = chance
-            known.belief.at_s = at_s
-
     def risk(self, known: TargetState, now_s: float) -> float:
         """Return the chance that a target is failing, by all evidence."""
         chance = known.belief.now(now_s)
@@ -318,7 +256,7 @@
         model = self._model(flight.ask)
         belief = known.belief
         if result is Result.ANSWERED:
-            _note_warm(known, flight.ask.entry, now_s)
+            known.note_warm(flight.ask.entry, now_s)
             belief.learn_latency(took_s, model)
             if belief.slowness < 1:
                 model.learn(took_s)
@@ -450,7 +388,7 @@
             cost += COST_COLD
         if known.entry.data_centre != ask.data_centre:
             cost += COST_FAR
-        if now_s - known.warm.get(ask.entry, float('-inf')) > WARM_S:
+        if not known.is_warm(ask.entry, now_s):
             cost += COST_CONNECT
         untried = known.belief.tried_s == float('-inf')
         if untried and now_s - known.seen_s > UNTRIED_AFTER_S:
@@ -565,10 +503,3 @@
             found = LatencyModel.for_objective(ask.objective_s)
             self.models[ask.route] = found
         return found
-
-
-def _note_warm(known: TargetState, entry: str, now_s: float) -> None:
-    known.warm.pop(entry, None)
-    known.warm[entry] = now_s
-    if len(known.warm) > MAX_WARM:
-        del known.warm[next(iter(known.warm))]
--- a/carawaylane/gateway/fleet_rpc.py
+++ b/carawaylane/gateway/fleet_rpc.py
@@ -18,7 +18,7 @@
 from carawaylane.kernel.service import Service, service
 from carawaylane.rpc.fleet_codec import pack_verdict, unpack_ask
 from carawaylane.rpc.fleet_grpc import FleetBase
-from carawaylane.rpc.fleet_pb2 import Done, Nothing
+from carawaylane.rpc.fleet_pb2 import Done
 
 if TYPE_CHECKING:
     from carawaylane.kernel.kernel import Kernel
@@ -58,11 +58,6 @@
         msg = await stream.recv_message()
         await stream.send_message(self._news.answer(msg))
 
-    async def Share(self, stream: Any) -> None:  # noqa: N802
-        """Take in what the home of a service believes of its targets."""
-        self._homes.share(await stream.recv_message())
-        await stream.send_message(Nothing())
-
     def _take(self, call: Call, hello: Call, verdicts: Queue[Verdict]) -> None:
         if call.HasField('ask'):
             ask = unpack_ask(call.ask, hello.entry, hello.data_centre)
--- a/carawaylane/rpc/fleet_grpc.py
+++ b/carawaylane/rpc/fleet_grpc.py
@@ -22,10 +22,6 @@
     async def Sync(self, stream: 'grpclib.server.Stream[carawaylane.rpc.fleet_pb2.SyncRequest, carawaylane.rpc.fleet_pb2.SyncReply]') -> None:
         pass
 
-    @abc.abstractmethod
-    async def Share(self, stream: 'grpclib.server.Stream[carawaylane.rpc.fleet_pb2.Beliefs, carawaylane.rpc.fleet_pb2.Nothing]') -> None:
-        pass
-
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/carawaylane.fleet.Fleet/Dispatch': grpclib.const.Handler(
@@ -40,12 +36,6 @@
                 carawaylane.rpc.fleet_pb2.SyncRequest,
                 carawaylane.rpc.fleet_pb2.SyncReply,
             ),
-            '/carawaylane.fleet.Fleet/Share': grpclib.const.Handler(
-                self.Share,
-                grpclib.const.Cardinality.UNARY_UNARY,
-                carawaylane.rpc.fleet_pb2.Beliefs,
-                carawaylane.rpc.fleet_pb2.Nothing,
-            ),
         }
 
 
@@ -64,9 +54,3 @@
             carawaylane.rpc.fleet_pb2.SyncRequest,
             carawaylane.rpc.fleet_pb2.SyncReply,
         )
-        self.Share = grpclib.client.UnaryUnaryMethod(
-            channel,
-            '/carawaylane.fleet.Fleet/Share',
-            carawaylane.rpc.fleet_pb2.Beliefs,
-            carawaylane.rpc.fleet_pb2.Nothing,
-        )
--- a/tests/decisions/test_dispatcher.py
+++ b/tests/decisions/test_dispatcher.py
@@ -4,11 +4,11 @@
 
 from carawaylane.decisions.belief import Result
 from carawaylane.decisions.dispatcher import (
-    CONFIRM_SLACK_S,
     LOSS_MIN,
     UNTRIED_AFTER_S,
     Dispatcher,
 )
+from carawaylane.decisions.held import CONFIRM_SLACK_S
 from carawaylane.messages.dispatch import Ask, Grant, Refuse, Turn, Wait
 from carawaylane.messages.plan import TargetEntry
 from carawaylane.settings.host import Bounds
