--- a/carawaylane/decisions/belief.py
+++ b/carawaylane/decisions/belief.py
@@ -12,7 +12,7 @@
 from enum import Enum
 from math import erf, exp, log, sqrt
 
-from attrs import Factory, define
+from attrs import define
 
 # Mean time until a well target fails, and until a failing one recovers.
 # Both are priors, in line with failures of a few seconds each that come
@@ -25,6 +25,8 @@
 FAILS_FAILING = 0.7
 FAILS_WELL = 0.015
 LEAST, MOST = 0.002, 0.995
+# Latencies below this are not told apart.
+LEAST_S = 0.0005
 # A target that is new, or back, is probably well.
 FRESH = 0.1
 
@@ -78,7 +80,7 @@
         """Take in the latency of an answer."""
         self.count += 1
         step = max(self.STEP, 1 / (self.count + 5))
-        off = log(max(0.0005, took_s)) - self.log_mean
+        off = log(max(LEAST_S, took_s)) - self.log_mean
         # One answer of a slow target must not stretch the model.
         off = max(-3 * self.log_sd, min(3 * self.log_sd, off))
         self.log_mean += step * off
@@ -128,7 +130,6 @@
     failed_s: float = float('-inf')
     # Share of recent requests that the target shed.
     shedding: float = 0.0
-    _ratios: dict[Result, float] = Factory(lambda: RATIOS)
 
     # Weight of one answer in the slowness, and how fast that is forgotten.
     SLOW_STEP = 0.3
@@ -145,7 +146,7 @@
         if result in (Result.ANSWERED, Result.SHED):
             shed = result is Result.SHED
             self.shedding += self.SHED_STEP * (shed - self.shedding)
-        ratio = self._ratios.get(result)
+        ratio = RATIOS.get(result)
         if ratio is None:
             return
         self.chance = shifted(self.now(now_s), ratio**weight)
@@ -157,7 +158,8 @@
 
     def learn_latency(self, took_s: float, model: LatencyModel) -> None:
         """Take in how long an answer took against its route's model."""
-        off = (log(max(0.0005, took_s)) - model.log_mean) - 0.0
+        off = log(max(LEAST_S, took_s)) - model.log_mean
+        # Between a third of the usual time and twenty times as long.
         off = max(-1.0, min(3.0, off))
         self.slowness += self.SLOW_STEP * (off - self.slowness)
 
--- a/carawaylane/gateway/forwarding.py
+++ b/carawaylane/gateway/forwarding.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from asyncio import FIRST_COMPLETED, Task, create_task, wait
-from typing import TYPE_CHECKING
 
 from attrs import Factory, define, frozen
 
@@ -23,9 +22,6 @@
 from carawaylane.services.targets import Broke, NeverSent, Refused, Whole
 from carawaylane.telemetry.events import TARGET_RESULT, emit
 
-if TYPE_CHECKING:
-    from carawaylane.kernel.kernel import Kernel
-
 SERVER_ERROR = 500
 # Sends that never reached a target don't count against the route's limit,
 # but they end somewhere.
@@ -71,7 +67,6 @@
     reached: int = 0
     unreached: int = 0
     hedge_at_s: float = float('inf')
-    hedged: bool = False
     # The target's own error, kept in case that nothing better comes.
     error: Answered | None = None
     # Why it may have run without an answer.
@@ -83,9 +78,6 @@
 class Forwarding(Service):
     """Takes each request to one outcome."""
 
-    def __init__(self, *, kernel: Kernel) -> None:
-        super().__init__(kernel=kernel)
-
     async def start(self) -> None:
         """Find the services that forwarding needs."""
         self._dispatch = self.kernel.find('dispatch')
@@ -105,19 +97,51 @@
     async def _forward(self, state: _Progress) -> Outcome:
         turn = Turn.FIRST
         while True:
-            placed = await self._place(state, turn)
-            if isinstance(placed, Refuse):
-                if not state.running:
-                    return self._refused(state, placed)
-                # Only a hedge was refused: wait for what runs.
-                state.hedge_at_s = self.kernel.now_s() + HEDGE_AGAIN_S
+            if turn is Turn.HEDGE:
+                placed = await self._place_hedge(state)
             else:
+                placed = await self._place(state, turn)
+            if isinstance(placed, Placed):
                 self._send(state, placed)
+            elif not state.running:
+                return self._refused(state, placed)
+            else:
+                # Only a hedge was refused: wait for what runs.
+                state.hedge_at_s = self.kernel.now_s() + HEDGE_AGAIN_S
             next_turn = await self._await_turn(state)
             if not isinstance(next_turn, Turn):
                 return next_turn
             turn = next_turn
 
+    async def _place_hedge(self, state: _Progress) -> Placed | Refuse:
+        """Return a second target, unless what runs ends before.
+
+        An answer must not wait for a home that is silent.
+        """
+        running = [send.task for send in state.running]
+        placing = create_task(self._place(state, Turn.HEDGE))
+        try:
+            await wait([placing, *running], return_when=FIRST_COMPLETED)
+        finally:
+            if not placing.done():
+                placing.cancel()
+        await wait([placing])
+        placed: Placed | Refuse | None = None
+        if not placing.cancelled():
+            placed = placing.result()
+        if any(task.done() for task in running) and isinstance(placed, Placed):
+            placed.home.done(
+                placed.service, placed.grant.ticket, Result.UNUSED, 0.0
+            )
+            placed = None
+        if placed is not None:
+            return placed
+        return Refuse(
+            ticket=self._dispatch.ticket(),
+            retry_after_s=0.0,
+            reason='the first target ended before',
+        )
+
     async def _place(self, state: _Progress, turn: Turn) -> Placed | Refuse:
         job = state.job
         left_s = job.deadline_s - self.kernel.now_s()
@@ -260,7 +284,10 @@
             if state.job.route.idempotent and not state.timed_out:
                 return Failed(reason=state.broken, retry_after_ms=0)
             return Unknown(reason=state.broken)
-        return NotRun(reason='targets refused it', retry_after_ms=100)
+        reason = 'targets refused it'
+        if state.unreached > MAX_UNREACHED:
+            reason = 'no target could be reached'
+        return NotRun(reason=reason, retry_after_ms=100)
 
     def _report(self, send: _Send, result: Result) -> None:
         grant = send.placed.grant
--- a/tests/gateway/test_exchanges.py
+++ b/tests/gateway/test_exchanges.py
@@ -1,7 +1,10 @@
 """Only whole answers, each to its own request; nothing runs twice."""
 
+from asyncio import Event
+
 import pytest
 
+from carawaylane.messages.dispatch import Turn
 from standins.raw_target import OK, Reply
 from tests.gateway.conftest import ask, connect, plan, send
 
@@ -159,3 +162,24 @@
     found = await ask(node, '/read/x')
     assert found.status == 200
     assert len(sent) == 2
+
+
+async def test_an_answer_does_not_wait_for_a_hedge(fleet):
+    fleet.store.put('config', 'main', plan())
+    for name in ('i-1', 'i-2'):
+        await fleet.target(name, lambda n, data: Reply(after_s=0.8))
+    node = await fleet.node('n1')
+    dispatch = node.find('dispatch')
+    place = dispatch.place
+    asked = []
+
+    async def silent(name, ask):
+        asked.append(ask.turn)
+        if ask.turn is Turn.HEDGE:
+            await Event().wait()
+        return await place(name, ask)
+
+    dispatch.place = silent
+    found = await ask(node, '/read/x')
+    assert found.status == 200
+    assert asked == [Turn.FIRST, Turn.HEDGE]
