--- a/carawaylane/decisions/dispatcher.py
+++ b/carawaylane/decisions/dispatcher.py
@@ -83,6 +83,8 @@
 # A hedge is due once the target is more likely stuck than not, but never
 # before this share of well answers has come, nor after that one.
 HEDGE_EARLIEST, HEDGE_LATEST = 0.4, 0.02
+# Turns in which another target has received the request.
+REPEATS = (Turn.REPEAT, Turn.HEDGE)
 RETRY_AFTER_MIN_S = 0.05
 NO_TARGET_RETRY_S = 0.5
 POISON_RETRY_S = 60.0
@@ -310,8 +312,7 @@
             )
         if not any(each.open() for each in self.targets.values()):
             return self._refuse(ask, NO_TARGET_RETRY_S, 'no target is known')
-        repeated = ask.turn in (Turn.REPEAT, Turn.HEDGE)
-        if repeated and not self._retries.allow(now_s):
+        if ask.turn in REPEATS and not self._retries.fits(now_s):
             return self._refuse(ask, 1.0, 'the retry budget is spent')
         return None
 
@@ -324,6 +325,11 @@
         known, risk = found
         if risk > max(least, self._accepted_risk(ask, waited_s)):
             return None
+        if ask.turn in REPEATS:
+            # Others may have spent the budget while this one waited.
+            if not self._retries.fits(now_s):
+                return None
+            self._retries.spend(now_s)
         known.belief.tried_s = now_s
         hedge_s = self._hedge_s(ask, risk)
         self._fly(known, ask, now_s, hedge_s)
--- a/carawaylane/decisions/retry_window.py
+++ b/carawaylane/decisions/retry_window.py
@@ -26,8 +26,8 @@
         """Count the first send of a request."""
         self._firsts.append(now_s)
 
-    def allow(self, now_s: float) -> bool:
-        """Count a repeat, if one more fits."""
+    def fits(self, now_s: float) -> bool:
+        """Return whether one more repeat fits."""
         for times in (self._firsts, self._repeats):
             while times and times[0] <= now_s - self.window_s:
                 times.popleft()
@@ -35,7 +35,8 @@
             self.ratio * RATIO_SHARE * len(self._firsts)
             + self.slack * SLACK_SHARE
         )
-        if len(self._repeats) + 1 > limit:
-            return False
+        return len(self._repeats) + 1 <= limit
+
+    def spend(self, now_s: float) -> None:
+        """Count a repeat that is sent."""
         self._repeats.append(now_s)
-        return True
--- a/tests/decisions/test_dispatcher.py
+++ b/tests/decisions/test_dispatcher.py
@@ -328,3 +328,17 @@
     waits = [each for each in verdicts if isinstance(each, Wait)]
     assert isinstance(verdicts[-1], Refuse)
     assert max(each.expect_s for each in waits) <= 3.0
+
+
+def test_hedges_that_find_no_slot_cost_no_budget(ask):
+    """Found on the bench: refused hedges used up the budget of repeats."""
+    bounds = Bounds(retry_ratio=0.0, retry_slack=2)
+    found = Dispatcher(service='s', bounds=bounds)
+    found.configure([entry('t1', slots=1)], 0.0)
+    first = ask()
+    found.ask(first, 0.0)
+    for _ in range(5):
+        found.ask(ask(turn=Turn.HEDGE, idempotent=True), 0.1)
+    found.done(first.ticket, Result.ANSWERED, 0.1, 0.1)
+    verdict = found.ask(ask(turn=Turn.HEDGE, idempotent=True), 0.2)
+    assert isinstance(verdict, Grant)
