--- a/carawaylane/gateway/callers.py
+++ b/carawaylane/gateway/callers.py
@@ -137,7 +137,7 @@
 
     def ready(self) -> bool:
         """Return whether the balancer should send callers here."""
-        return not self.kernel.draining and self._directory.plan is not None
+        return not self.kernel.draining and self._directory.complete()
 
     def request(self, *args: Any) -> Any:
         """Return a request whose body may be as large as allowed."""
--- a/carawaylane/gateway/directory.py
+++ b/carawaylane/gateway/directory.py
@@ -61,6 +61,12 @@
         """Post changes of targets to an actor from now on."""
         self._followers.append(follower)
 
+    def complete(self) -> bool:
+        """Return whether routes and targets are known, be it from peers."""
+        return (
+            self.plan is not None and self.replicas[Kind.TARGETS].revision > 0
+        )
+
     def targets_of(self, name: str) -> list[TargetEntry]:
         """Return the targets of a service."""
         return [each for each in self.targets.values() if each.service == name]
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -142,3 +142,14 @@
     leaver.draining = True
     await leaver.find('store_watch').drain()
     await fleet.until(lambda: leaver.cfg.name not in members)
+
+
+async def test_a_node_without_targets_is_not_ready(fleet):
+    """Found in CI beside load: ready before the targets, so all was refused."""
+    fleet.store.put('config', 'main', plan())
+    node = await fleet.node('n1', ready=False)
+    directory = node.find('directory')
+    await fleet.until(node.find('callers').ready)
+    directory.replicas[Kind.TARGETS].revision = 0
+    assert directory.plan is not None
+    assert not node.find('callers').ready()
