--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -145,7 +145,7 @@
 
 
 async def test_a_node_without_targets_is_not_ready(fleet):
-    """Found in CI beside load: ready before the targets, so all was refused."""
+    """Found in CI beside load: ready before targets, so all was refused."""
     fleet.store.put('config', 'main', plan())
     node = await fleet.node('n1', ready=False)
     directory = node.find('directory')
