Evidence of a target counts as of the sending of its request

Change: evidence is kept in order of the time it tells of. The floor's tries go to every target that is more likely well than failing. An entry keeps off a target while its own request is stuck there, and for 4 s from its sending.

--- a/bench/dispatch_sim.py
+++ b/bench/dispatch_sim.py
@@ -27,6 +27,11 @@
 
 TICK_S = 0.02
 REPORT_S = 0.002
+# The users' rule on the floor: in 2 s, while more than a tenth and under
+# half of the requests are lost, this share of the targets that have been
+# well for 2 s must get some.
+FLOOR_WINDOW_S, FLOOR_STEP_S, FLOOR_SOUND_S = 2.0, 0.25, 2.0
+FLOOR_LOST_LEAST, FLOOR_LOST_MOST, FLOOR_SHARE = 0.1, 0.5, 0.7
 
 
 @frozen(kw_only=True)
@@ -58,6 +63,9 @@
     refused: int = 0
     refused_after_s: list[float] = Factory(list)
     by_priority: dict[int, list[int]] = Factory(dict)
+    # Windows in which too few sound targets got requests, of how many.
+    starved: int = 0
+    lossy: int = 0
 
     @property
     def total(self) -> int:
@@ -78,14 +86,24 @@
         self._rng = rng
         self._sick = rng.random() < load.sick_s / (load.sick_s + load.well_s)
         self._until_s = self._spell(0.0)
-        self.running = 0
+        self.spells = [(0.0, self._until_s)] if self._sick else []
 
     def sick(self, now_s: float) -> bool:
         while now_s >= self._until_s:
             self._sick = not self._sick
-            self._until_s = self._spell(self._until_s)
+            start_s, self._until_s = self._until_s, self._spell(self._until_s)
+            if self._sick:
+                self.spells.append((start_s, self._until_s))
         return self._sick
 
+    def sound(self, start_s: float, end_s: float) -> bool:
+        """Return whether it was well all that time; ask in order of time."""
+        self.sick(end_s)
+        return not any(
+            start_s < spell_end_s and spell_start_s < end_s
+            for spell_start_s, spell_end_s in self.spells
+        )
+
     def _spell(self, now_s: float) -> float:
         mean_s = self._load.sick_s if self._sick else self._load.well_s
         return now_s + self._rng.expovariate(1 / mean_s)
@@ -126,6 +144,8 @@
         self._events: list[tuple[float, int, Any, tuple[Any, ...]]] = []
         self._order = count()
         self._jobs: dict[tuple[str, int], _Job] = {}
+        self._sends: list[tuple[float, str]] = []
+        self._ends: list[tuple[float, bool]] = []
         self.dispatcher = make(service='s', bounds=Bounds())
         names = [f't{number}' for number in range(load.targets)]
         self._targets = {
@@ -154,8 +174,34 @@
         while self._events:
             now_s, _, func, args = heappop(self._events)
             func(now_s, *args)
+        self._judge_floor()
         return self.tally
 
+    def _judge_floor(self) -> None:
+        steps = int((self.load.length_s - FLOOR_WINDOW_S) / FLOOR_STEP_S)
+        for step in range(steps):
+            start_s = step * FLOOR_STEP_S
+            end_s = start_s + FLOOR_WINDOW_S
+            ends = [
+                lost for at_s, lost in self._ends if start_s <= at_s < end_s
+            ]
+            if not (
+                FLOOR_LOST_LEAST * len(ends)
+                < sum(ends)
+                < FLOOR_LOST_MOST * len(ends)
+            ):
+                continue
+            used = {
+                name for at_s, name in self._sends if start_s <= at_s < end_s
+            }
+            sound = {
+                name
+                for name, target in self._targets.items()
+                if target.sound(start_s - FLOOR_SOUND_S, end_s)
+            }
+            self.tally.lossy += 1
+            self.tally.starved += len(used & sound) < FLOOR_SHARE * len(sound)
+
     def _at(self, at_s: float, func: Any, *args: Any) -> None:
         heappush(self._events, (at_s, next(self._order), func, args))
 
@@ -197,6 +243,7 @@
     def _run(self, job: _Job, grant: Grant, now_s: float) -> None:
         load = self.load
         target = self._targets[grant.target]
+        self._sends.append((now_s, grant.target))
         end_s = job.at_s + load.timeout_s
         took_s = self._rng.lognormvariate(log(load.work_s), load.spread)
         self._at(now_s + grant.hedge_s, self._tell, job, grant.hedge_s)
@@ -232,6 +279,7 @@
 
     def _end(self, job: _Job, served: bool) -> None:
         job.ended = True
+        self._ends.append((job.at_s, not served))
         row = self.tally.by_priority.setdefault(job.ask.priority, [0, 0])
         row[0] += served
         row[1] += 1
@@ -251,6 +299,8 @@
         found.lost += tally.lost
         found.refused += tally.refused
         found.refused_after_s += tally.refused_after_s
+        found.starved += tally.starved
+        found.lossy += tally.lossy
         for priority, (served, total) in tally.by_priority.items():
             row = found.by_priority.setdefault(priority, [0, 0])
             row[0] += served
@@ -270,11 +320,25 @@
                 f'{name:10} {make.__name__:10} served {found.served:.4f} '
                 f'in time {found.in_time / found.total:.4f} '
                 f'lost {found.lost / found.total:.4f} '
-                f'refused {found.refused / found.total:.4f}'
+                f'refused {found.refused / found.total:.4f} '
+                f'starved {found.starved} of {found.lossy}'
             )
 
 
+# Many targets, few busy slots, and timeouts of many times the work.
+ROOMY = Load(
+    targets=18,
+    slots=4,
+    rate_per_s=70.0,
+    work_s=0.32,
+    timeout_s=4.0,
+    objective_s=1.5,
+    sick_s=3.6,
+    well_s=8.4,
+    sick_fails=0.9,
+)
 LOADS = {
+    'roomy': ROOMY,
     'calm': Load(),
     'peak': Load(rate_per_s=85.0),
     'crowded': Load(targets=6, rate_per_s=40.0),
--- a/carawaylane/decisions/belief.py
+++ b/carawaylane/decisions/belief.py
@@ -4,7 +4,9 @@
 Each outcome moves the odds by its likelihood ratio; without evidence they
 drift back to the chain's long-run share. Work that is in flight counts by
 its age: the older it is against the latency of its route, the likelier the
-target hangs, long before any timeout.
+target hangs, long before any timeout. Whether a request hangs is decided when
+the target gets it, so an answer or a hang tells of the time of its sending,
+and later evidence outweighs it, however late it ends.
 """
 
 from __future__ import annotations
@@ -12,7 +14,7 @@
 from enum import Enum
 from math import erf, exp, log, sqrt
 
-from attrs import define
+from attrs import Factory, define
 
 # Mean time until a well target fails, and until a failing one recovers.
 # Both are priors, in line with failures of a few seconds each that come
@@ -45,6 +47,10 @@
     UNUSED = 8
 
 
+# Evidence kept apart, in order of the time it tells of. Older evidence is
+# folded into one chance; that of long-open work then stays as it is.
+MAX_TRAIL = 48
+
 # Likelihood of each outcome from a failing target over that from a well
 # one. An answer is as likely as the complement of the shares above; errors
 # come from well targets too, in a per cent of requests.
@@ -53,7 +59,6 @@
     Result.ERRORED: 12.0,
     Result.UNREACHED: 20.0,
     Result.BROKEN: 20.0,
-    Result.OVERDUE: 50.0,
 }
 
 
@@ -117,17 +122,34 @@
     return max(LEAST, min(MOST, odds / (1 + odds)))
 
 
+def drifted(chance: float, idle_s: float) -> float:
+    """Return a chance after a time without evidence."""
+    drift = exp(-RATE_PER_S * max(0.0, idle_s))
+    return LONG_RUN + (chance - LONG_RUN) * drift
+
+
+@define(kw_only=True)
+class Evidence:
+    """What one request tells of a target, as of a time."""
+
+    at_s: float
+    # Likelihood ratio of failing over well; 1 tells nothing.
+    ratio: float = 1.0
+    # The request is still open, so the ratio may change.
+    open: bool = False
+
+
 @define(kw_only=True)
 class Belief:
-    """Chance that a target is failing, as of a time."""
+    """Chance that a target is failing, as of a time, and later evidence."""
 
     chance: float = FRESH
     at_s: float = 0.0
+    trail: list[Evidence] = Factory(list)
     # Mean of the log of latency over the route's model, of recent answers.
     slowness: float = 0.0
     answered_s: float = float('-inf')
     tried_s: float = float('-inf')
-    failed_s: float = float('-inf')
     # Share of recent requests that the target shed.
     shedding: float = 0.0
 
@@ -137,37 +159,70 @@
     SHED_STEP = 0.2
 
     def now(self, now_s: float) -> float:
-        """Return the chance now, without what is in flight."""
-        drift = exp(-RATE_PER_S * max(0.0, now_s - self.at_s))
-        return LONG_RUN + (self.chance - LONG_RUN) * drift
-
-    def learn(self, result: Result, now_s: float, weight: float = 1) -> None:
-        """Take in an outcome; a `weight` below 1 makes it count less."""
+        """Return the chance now, by all evidence."""
+        chance, at_s = self.chance, self.at_s
+        for each in self.trail:
+            chance = shifted(drifted(chance, each.at_s - at_s), each.ratio)
+            at_s = each.at_s
+        return drifted(chance, now_s - at_s)
+
+    def sent(self, now_s: float) -> Evidence:
+        """Return the evidence of a request that is sent now."""
+        return self._add(Evidence(at_s=now_s, open=True))
+
+    def learn(
+        self,
+        result: Result,
+        now_s: float,
+        evidence: Evidence,
+        *,
+        waiting: float = 1.0,
+        weight: float = 1.0,
+    ) -> None:
+        """Take in how a request ended.
+
+        `waiting` is the ratio of its age without an answer; a `weight` below
+        1 makes the outcome count less.
+        """
+        evidence.open = False
+        evidence.ratio = 1.0
         if result in (Result.ANSWERED, Result.SHED):
             shed = result is Result.SHED
             self.shedding += self.SHED_STEP * (shed - self.shedding)
-        ratio = RATIOS.get(result)
-        if ratio is None:
-            return
-        self.chance = shifted(self.now(now_s), ratio**weight)
-        self.at_s = now_s
         if result is Result.ANSWERED:
             self.answered_s = now_s
-        else:
-            self.failed_s = now_s
+            evidence.ratio = RATIOS[result] ** weight
+        elif result in (Result.OVERDUE, Result.CANCELLED):
+            evidence.ratio = waiting
+        elif result in RATIOS:
+            # A failure that shows itself tells of now.
+            self._add(Evidence(at_s=now_s, ratio=RATIOS[result] ** weight))
+        self._fold()
+
+    def _add(self, evidence: Evidence) -> Evidence:
+        self.trail.append(evidence)
+        self._fold()
+        return evidence
+
+    def _fold(self) -> None:
+        """Fold the oldest evidence into the chance, as far as it is final."""
+        done = 0
+        for each in self.trail:
+            if each.open and len(self.trail) - done <= MAX_TRAIL:
+                break
+            since_s = each.at_s - self.at_s
+            self.chance = shifted(drifted(self.chance, since_s), each.ratio)
+            self.at_s = each.at_s
+            done += 1
+        del self.trail[:done]
 
     def learn_latency(self, took_s: float, model: LatencyModel) -> None:
-        """Take in how long an answer took against its route's model."""
+        """Take in the latency of an answer against its route's model."""
         off = log(max(LEAST_S, took_s)) - model.log_mean
         # Between a third of the usual time and twenty times as long.
         off = max(-1.0, min(3.0, off))
         self.slowness += self.SLOW_STEP * (off - self.slowness)
 
-    def learn_waiting(self, survival: float, now_s: float) -> None:
-        """Take in work that ended without telling more than its age."""
-        self.chance = shifted(self.now(now_s), hang_ratio(survival))
-        self.at_s = now_s
-
     def slow_now(self, now_s: float) -> float:
         """Return the slowness, as far as it is not yet forgotten."""
         idle_s = now_s - self.answered_s
--- a/carawaylane/decisions/dispatcher.py
+++ b/carawaylane/decisions/dispatcher.py
@@ -22,7 +22,6 @@
     LatencyModel,
     Result,
     hang_ratio,
-    shifted,
 )
 from carawaylane.decisions.held import Flight, TargetState
 from carawaylane.decisions.poison import Quarantine
@@ -154,12 +153,10 @@
 
     def risk(self, known: TargetState, now_s: float) -> float:
         """Return the chance that a target is failing, by all evidence."""
-        chance = known.belief.now(now_s)
         for flight in known.flights.values():
-            model = self._model(flight.ask)
-            survival = model.survival(flight.waited_s(now_s))
-            chance = shifted(chance, hang_ratio(survival))
-        return chance
+            survival = self._model(flight.ask).survival(flight.waited_s(now_s))
+            flight.evidence.ratio = hang_ratio(survival)
+        return known.belief.now(now_s)
 
     # Asks
 
@@ -263,15 +260,18 @@
             if belief.slowness < 1:
                 model.learn(took_s)
             self._hold_s += HOLD_STEP * (took_s - self._hold_s)
-        if result is Result.CANCELLED:
-            belief.learn_waiting(model.survival(took_s), now_s)
-            return
-        if result is Result.MISDIRECTED:
-            known.gone = True
-            return
-        if result in (Result.UNREACHED, Result.BROKEN, Result.OVERDUE):
+        known.gone = known.gone or result is Result.MISDIRECTED
+        if result in (Result.UNREACHED, Result.BROKEN):
             known.paths[flight.ask.entry] = now_s + PATH_S
-        belief.learn(result, now_s, self._weight(known, result, now_s))
+        if result is Result.OVERDUE:
+            known.paths[flight.ask.entry] = flight.at_s + PATH_S
+        belief.learn(
+            result,
+            now_s,
+            flight.evidence,
+            waiting=hang_ratio(model.survival(took_s)),
+            weight=self._weight(known, result, now_s),
+        )
         if result is Result.BROKEN and flight.ask.digest:
             known.broke[flight.ask.digest] = now_s
         if result is Result.UNREACHED:
@@ -350,6 +350,7 @@
             at_s=at_s,
             heard_s=at_s,
             hedge_s=hedge_s,
+            evidence=known.belief.sent(at_s),
         )
         known.flights[ask.ticket] = flight
         self.flights[ask.ticket] = flight
@@ -372,7 +373,7 @@
             if each.open() and each.free() and each.entry.name not in ask.avoid
         ]
         reached = [
-            each for each in near if each.paths.get(ask.entry, 0.0) <= now_s
+            each for each in near if self._reached(each, ask.entry, now_s)
         ]
         near = self._due(reached or near, now_s)
         best: tuple[float, float, TargetState] | None = None
@@ -383,6 +384,13 @@
                 best = (cost, risk, each)
         return (best[2], best[1]) if best else None
 
+    def _reached(self, known: TargetState, entry: str, now_s: float) -> bool:
+        """Return whether an entry has no reason to doubt its path."""
+        return known.paths.get(entry, 0.0) <= now_s and not any(
+            flight.ask.entry == entry and self._stuck(flight, now_s)
+            for flight in known.flights.values()
+        )
+
     def _cost(
         self, known: TargetState, ask: Ask, risk: float, now_s: float
     ) -> float:
@@ -408,7 +416,7 @@
         well = [
             each
             for each in self.targets.values()
-            if each.open() and now_s - each.belief.failed_s > LOSS_WINDOW_S
+            if each.open() and self.risk(each, now_s) < USABLE_RISK
         ]
         untried = [
             each for each in well if now_s - each.belief.tried_s >= UNTRIED_S
--- a/carawaylane/decisions/held.py
+++ b/carawaylane/decisions/held.py
@@ -4,7 +4,7 @@
 
 from attrs import Factory, define
 
-from carawaylane.decisions.belief import Belief
+from carawaylane.decisions.belief import Belief, Evidence
 from carawaylane.messages.dispatch import Ask, Ticket
 from carawaylane.messages.plan import TargetEntry
 
@@ -26,6 +26,7 @@
     # be the entry's.
     heard_s: float
     hedge_s: float
+    evidence: Evidence
     # The entry is out of touch: nothing more will be heard.
     lost: bool = False
 
--- a/carawaylane/gateway/dispatchers.py
+++ b/carawaylane/gateway/dispatchers.py
@@ -124,7 +124,9 @@
             target=flight.target,
             result=msg.result.name,
             took_ms=round(msg.took_s * 1000),
-            sick=round(known.belief.chance, 3) if known else None,
+            sick=round(found.risk(known, self.kernel.now_s()), 3)
+            if known
+            else None,
         )
         self._tick(found)
 
--- a/tests/decisions/test_dispatch_load.py
+++ b/tests/decisions/test_dispatch_load.py
@@ -4,7 +4,7 @@
 load and seeds, so that they hold for any machine.
 """
 
-from bench.dispatch_sim import Baseline, Load, play
+from bench.dispatch_sim import ROOMY, Baseline, Load, play
 
 SEEDS = 2
 
@@ -16,6 +16,12 @@
     assert ours.lost + ours.refused < 0.5 * (base.lost + base.refused)
 
 
+def test_sound_targets_stay_in_use_while_others_hang():
+    found = play(ROOMY, 4)
+    assert found.lossy > 0
+    assert found.starved == 0
+
+
 def test_a_crowded_service_serves_more_than_by_any_free_slot():
     load = Load(targets=6, rate_per_s=40.0, length_s=30)
     ours, base = play(load, SEEDS), play(load, SEEDS, Baseline)
