Tests: ports below the ephemeral range; a start that fails tells why

Likely cause: ports were chosen in the ephemeral range, where the connections of the node's neighbours may take them before it binds. Not proved: the port was not seen taken; a start that fails now shows the exit code and the end of the log at once.

Also: a connection costs 0.035 of a lost request (what the users charge for one over what a lost one costs them), a busy slot 0.1.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -7,7 +7,6 @@
 from asyncio.subprocess import Process
 from pathlib import Path
 from signal import SIGKILL, SIGTERM
-from socket import AF_INET, SOCK_STREAM, socket
 from subprocess import DEVNULL
 from tempfile import mkdtemp
 from typing import Any
@@ -15,16 +14,17 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout
 from attrs import Factory, define
 
+from bench.ports import free_port
+
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 15.0
 POLL_S = 0.05
+# Of the end of a log, in an error.
+LOG_CHARS = 4000
 
 
-def free_port() -> int:
-    """Return a port of the loopback address that is free now."""
-    with socket(AF_INET, SOCK_STREAM) as sock:
-        sock.bind(('127.0.0.1', 0))
-        return sock.getsockname()[1]
+class NotServingError(RuntimeError):
+    """A process ended, or did not serve in time, while starting."""
 
 
 @define(kw_only=True)
@@ -69,7 +69,7 @@
         port = free_port()
         argv = ['-m', 'standins.platform', '--port', str(port)]
         self.platform = await self._start('platform', argv, port)
-        await self.until(lambda: self.get(f'{self.platform.url}/control'))
+        await self.serving(self.platform, f'{self.platform.url}/control')
         return self
 
     async def __aexit__(self, *exc: object) -> None:
@@ -88,7 +88,7 @@
         argv += ['--port', str(port), *flags]
         proc = await self._start(name, argv, port)
         self.targets[name] = proc
-        await self.until(lambda: self.get(f'{proc.url}/control'))
+        await self.serving(proc, f'{proc.url}/control')
         return proc
 
     async def add_node(self, name: str, data_centre: str, *flags: str) -> Proc:
@@ -104,7 +104,7 @@
         proc = await self._start(name, argv, port)
         proc.admin = admin
         self.nodes[name] = proc
-        await self.until(lambda: self.get(f'{self.admin_url(name)}/ready'))
+        await self.serving(proc, f'{self.admin_url(name)}/ready')
         proc.ready = True
         return proc
 
@@ -155,6 +155,24 @@
                     return found
                 await sleep(POLL_S)
 
+    async def serving(self, proc: Proc, url: str) -> None:
+        """Wait until a process answers; tell why if it doesn't."""
+
+        async def up() -> bool:
+            return proc.process.returncode is not None or await self.get(url)
+
+        try:
+            await self.until(up)
+        except TimeoutError as exc:
+            raise NotServingError(self._why(proc)) from exc
+        if proc.process.returncode is not None:
+            raise NotServingError(self._why(proc))
+
+    def _why(self, proc: Proc) -> str:
+        log = (self.logs / f'{proc.name}.log').read_text(errors='replace')
+        code = proc.process.returncode
+        return f'{proc.name}: exit code {code}, log:\n{log[-LOG_CHARS:]}'
+
     async def in_force(self, seq: int) -> None:
         """Wait until every node has a version of the configuration."""
         for name, proc in list(self.nodes.items()):
--- a/bench/dispatch_sim.py
+++ b/bench/dispatch_sim.py
@@ -49,6 +49,8 @@
     well_s: float = 6.3
     sick_fails: float = 0.75
     length_s: float = 60.0
+    # Nodes that take the requests; each has connections of its own.
+    entries: int = 1
     # From when to when the rate is how many times as high.
     burst: tuple[float, float, float] = (0.0, 0.0, 1.0)
 
@@ -66,6 +68,8 @@
     # Windows in which too few sound targets got requests, of how many.
     starved: int = 0
     lossy: int = 0
+    # Requests that went out on a new connection.
+    opened: int = 0
 
     @property
     def total(self) -> int:
@@ -214,7 +218,7 @@
             next_s = now_s + self._arrivals.expovariate(rate)
             self._at(next_s, self._arrive, number + 1)
         ask = Ask(
-            ticket=('e', number),
+            ticket=(f'e{number % load.entries}', number),
             data_centre='dc',
             route='r',
             priority=number % 2,
@@ -244,6 +248,8 @@
         load = self.load
         target = self._targets[grant.target]
         self._sends.append((now_s, grant.target))
+        known = self.dispatcher.targets[grant.target]
+        self.tally.opened += not known.is_warm(job.ask.entry, now_s)
         end_s = job.at_s + load.timeout_s
         took_s = self._rng.lognormvariate(log(load.work_s), load.spread)
         self._at(now_s + grant.hedge_s, self._tell, job, grant.hedge_s)
@@ -301,6 +307,7 @@
         found.refused_after_s += tally.refused_after_s
         found.starved += tally.starved
         found.lossy += tally.lossy
+        found.opened += tally.opened
         for priority, (served, total) in tally.by_priority.items():
             row = found.by_priority.setdefault(priority, [0, 0])
             row[0] += served
@@ -321,7 +328,8 @@
                 f'in time {found.in_time / found.total:.4f} '
                 f'lost {found.lost / found.total:.4f} '
                 f'refused {found.refused / found.total:.4f} '
-                f'starved {found.starved} of {found.lossy}'
+                f'starved {found.starved} of {found.lossy} '
+                f'opened {found.opened / found.total:.3f}'
             )
 
 
@@ -336,6 +344,7 @@
     sick_s=3.6,
     well_s=8.4,
     sick_fails=0.9,
+    entries=44,
 )
 LOADS = {
     'roomy': ROOMY,
--- a/carawaylane/decisions/dispatcher.py
+++ b/carawaylane/decisions/dispatcher.py
@@ -43,13 +43,13 @@
     from carawaylane.settings.host import Bounds
 
 # Costs of a choice, in units of a lost request.
-COST_BUSY = 0.03
+COST_BUSY = 0.1
 COST_SLOW = 0.12
 COST_COLD = 0.08
 COST_SHED = 0.15
 COST_FAR = 0.04
 # A new connection costs a round trip and a share of a slot's time.
-COST_CONNECT = 0.01
+COST_CONNECT = 0.035
 # A target that has joined gets its first request before long, so that its
 # capacity is known when it is needed.
 GAIN_UNTRIED = 0.3
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -3,12 +3,12 @@
 from asyncio import open_connection, sleep, start_server, timeout
 from importlib import import_module
 from random import Random
-from socket import socket
 
 import pytest
 from aiohttp import web
 from attrs import define
 
+from bench.ports import free_port
 from carawaylane.gateway.daemon import SERVICES
 from carawaylane.kernel.kernel import Kernel
 from carawaylane.settings.host import Bounds, HostSettings
@@ -19,12 +19,6 @@
 READY_TIMEOUT_S = 20
 
 
-def free_port():
-    with socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return sock.getsockname()[1]
-
-
 def route(name, prefix, *, kind='safe', **changes):
     return {
         'name': name,
--- a/tests/gateway/test_daemon.py
+++ b/tests/gateway/test_daemon.py
@@ -16,11 +16,12 @@
 
 from aiohttp import ClientError, ClientSession
 
+from bench.ports import free_port
 from carawaylane.gateway import daemon
 from carawaylane.gateway.daemon import EXIT_SETTINGS
 from carawaylane.kernel.kernel import Kernel
 from carawaylane.platform.boot import PATH_VARIABLE, read_boot
-from tests.gateway.conftest import free_port, plan
+from tests.gateway.conftest import plan
 
 
 def boot(store='127.0.0.1:9', **bounds):
