A queue of half the objective; a target's chance is kept within a moment

Ruled out: a limit that tightens only while a queue stands (in virtual time no better than one share).

Change: wait and work together may take half the objective, unless nobody is ahead.

A test's set-up changes, not its bound: its eight asks now allow five seconds, so that the long queue it is about still forms.

--- a/bench/dispatch_sim.py
+++ b/bench/dispatch_sim.py
@@ -14,11 +14,18 @@
 from random import Random
 from typing import TYPE_CHECKING, Any
 
-from attrs import Factory, define, frozen
+from attrs import Factory, define, evolve, frozen
 
 from carawaylane.decisions.belief import Result
 from carawaylane.decisions.dispatcher import Dispatcher
-from carawaylane.messages.dispatch import Ask, Grant, Refuse
+from carawaylane.messages.dispatch import (
+    Ask,
+    Grant,
+    Refuse,
+    Ticket,
+    Turn,
+    Wait,
+)
 from carawaylane.messages.plan import TargetEntry
 from carawaylane.settings.host import Bounds
 
@@ -26,6 +33,9 @@
     from collections.abc import Callable
 
 TICK_S = 0.02
+# As in forwarding: a hedge that found no slot asks again after this.
+HEDGE_AGAIN_S = 0.25
+MAX_TRIES = 2
 REPORT_S = 0.002
 # The users' rule on the floor: in 2 s, while more than a tenth and under
 # half of the requests are lost, this share of the targets that have been
@@ -49,6 +59,8 @@
     well_s: float = 6.3
     sick_fails: float = 0.75
     length_s: float = 60.0
+    # Share of the requests that may be sent to a second target.
+    idempotent: float = 0.0
     # Nodes that take the requests; each has connections of its own.
     entries: int = 1
     # From when to when the rate is how many times as high.
@@ -131,7 +143,20 @@
 class _Job:
     ask: Ask
     at_s: float
+    end_s: float
     ended: bool = False
+    running: list[_Send] = Factory(list)
+    tried: frozenset[str] = frozenset()
+    # The ask for a hedge that waits at the home.
+    waits: Ticket | None = None
+
+
+@define(kw_only=True, eq=False)
+class _Send:
+    job: _Job
+    ticket: Ticket
+    at_s: float
+    done: bool = False
 
 
 class Run:
@@ -147,7 +172,8 @@
         self._arrivals = Random(seed)
         self._events: list[tuple[float, int, Any, tuple[Any, ...]]] = []
         self._order = count()
-        self._jobs: dict[tuple[str, int], _Job] = {}
+        self._jobs: dict[Ticket, _Job] = {}
+        self._hedges = count(10**9)
         self._sends: list[tuple[float, str]] = []
         self._ends: list[tuple[float, bool]] = []
         self.dispatcher = make(service='s', bounds=Bounds())
@@ -222,11 +248,13 @@
             data_centre='dc',
             route='r',
             priority=number % 2,
-            idempotent=False,
+            idempotent=self._arrivals.random() < load.idempotent,
             left_s=load.timeout_s,
             objective_s=load.objective_s,
         )
-        self._jobs[ask.ticket] = _Job(ask=ask, at_s=now_s)
+        self._jobs[ask.ticket] = _Job(
+            ask=ask, at_s=now_s, end_s=now_s + load.timeout_s
+        )
         self._take(self.dispatcher.ask(ask, now_s), now_s)
 
     def _tick(self, now_s: float) -> None:
@@ -237,12 +265,17 @@
 
     def _take(self, verdict: Any, now_s: float) -> None:
         job = self._jobs[verdict.ticket]
-        if isinstance(verdict, Refuse):
+        first = verdict.ticket == job.ask.ticket
+        if not first:
+            job.waits = verdict.ticket if isinstance(verdict, Wait) else None
+        if isinstance(verdict, Grant):
+            self._run(job, verdict, now_s)
+        elif isinstance(verdict, Refuse) and first:
             self.tally.refused += 1
             self.tally.refused_after_s.append(now_s - job.at_s)
             self._end(job, served=False)
-        elif isinstance(verdict, Grant):
-            self._run(job, verdict, now_s)
+        elif isinstance(verdict, Refuse):
+            self._at(now_s + HEDGE_AGAIN_S, self._hedge, job)
 
     def _run(self, job: _Job, grant: Grant, now_s: float) -> None:
         load = self.load
@@ -250,36 +283,67 @@
         self._sends.append((now_s, grant.target))
         known = self.dispatcher.targets[grant.target]
         self.tally.opened += not known.is_warm(job.ask.entry, now_s)
-        end_s = job.at_s + load.timeout_s
+        send = _Send(job=job, ticket=grant.ticket, at_s=now_s)
+        job.running.append(send)
+        job.tried |= {grant.target}
         took_s = self._rng.lognormvariate(log(load.work_s), load.spread)
-        self._at(now_s + grant.hedge_s, self._tell, job, grant.hedge_s)
+        self._at(now_s + grant.hedge_s, self._tell, send, grant.hedge_s)
+        if job.ask.idempotent:
+            self._at(now_s + grant.hedge_s, self._hedge, job)
         hangs = target.sick(now_s) and self._rng.random() < load.sick_fails
-        if hangs or now_s + took_s > end_s:
-            self._at(end_s, self._done, job, Result.OVERDUE, now_s)
+        if hangs or now_s + took_s > job.end_s:
+            self._at(job.end_s, self._done, send, Result.OVERDUE)
         else:
-            self._at(now_s + took_s, self._done, job, Result.ANSWERED, now_s)
-
-    def _tell(self, now_s: float, job: _Job, every_s: float) -> None:
-        if not job.ended:
-            self.dispatcher.confirm(job.ask.ticket, now_s)
-            self._at(now_s + max(0.05, every_s), self._tell, job, every_s)
+            self._at(now_s + took_s, self._done, send, Result.ANSWERED)
+
+    def _hedge(self, now_s: float, job: _Job) -> None:
+        if not job.running or len(job.tried) >= MAX_TRIES or job.waits:
+            return
+        ask = evolve(
+            job.ask,
+            ticket=(job.ask.entry, next(self._hedges)),
+            turn=Turn.HEDGE,
+            left_s=job.end_s - now_s,
+            avoid=job.tried,
+        )
+        self._jobs[ask.ticket] = job
+        self._take(self.dispatcher.ask(ask, now_s), now_s)
 
-    def _done(
-        self, now_s: float, job: _Job, result: Result, sent_s: float
-    ) -> None:
-        if result is not Result.ANSWERED:
-            self.tally.lost += 1
-        elif now_s - job.at_s <= self.load.objective_s:
-            self.tally.in_time += 1
+    def _tell(self, now_s: float, send: _Send, every_s: float) -> None:
+        if not send.done:
+            self.dispatcher.confirm(send.ticket, now_s)
+            self._at(now_s + max(0.05, every_s), self._tell, send, every_s)
+
+    def _done(self, now_s: float, send: _Send, result: Result) -> None:
+        job = send.job
+        if send.done:
+            return
+        self._stop(now_s, send, result)
+        if result is Result.ANSWERED:
+            in_time = now_s - job.at_s <= self.load.objective_s
+            self.tally.in_time += in_time
+            self.tally.late += not in_time
+        elif job.running:
+            return
         else:
-            self.tally.late += 1
+            self.tally.lost += 1
         self._end(job, served=result is Result.ANSWERED)
-        self._at(now_s + REPORT_S, self._report, job, result, now_s - sent_s)
+        for other in list(job.running):
+            self._stop(now_s, other, Result.CANCELLED)
+        if job.waits is not None:
+            self.dispatcher.cancel(job.waits)
+            job.waits = None
+
+    def _stop(self, now_s: float, send: _Send, result: Result) -> None:
+        send.done = True
+        send.job.running.remove(send)
+        took_s = now_s - send.at_s
+        self._at(now_s + REPORT_S, self._report, send.ticket, result, took_s)
 
     def _report(
-        self, now_s: float, job: _Job, result: Result, took_s: float
+        self, now_s: float, ticket: Ticket, result: Result, took_s: float
     ) -> None:
-        self.dispatcher.done(job.ask.ticket, result, took_s, now_s)
+        self.dispatcher.done(ticket, result, took_s, now_s)
         for _, verdict in self.dispatcher.tick(now_s):
             self._take(verdict, now_s)
 
@@ -346,8 +410,24 @@
     sick_fails=0.9,
     entries=44,
 )
+# Work of uneven length that fills the slots of those targets that are well.
+TIGHT = Load(
+    targets=11,
+    slots=4,
+    rate_per_s=66.0,
+    work_s=0.31,
+    spread=0.8,
+    timeout_s=3.0,
+    objective_s=1.5,
+    sick_s=3.6,
+    well_s=8.4,
+    sick_fails=0.9,
+    idempotent=1.0,
+    entries=44,
+)
 LOADS = {
     'roomy': ROOMY,
+    'tight': TIGHT,
     'calm': Load(),
     'peak': Load(rate_per_s=85.0),
     'crowded': Load(targets=6, rate_per_s=40.0),
--- a/carawaylane/decisions/dispatcher.py
+++ b/carawaylane/decisions/dispatcher.py
@@ -75,7 +75,9 @@
 USABLE_RISK = 0.5
 # Share of a mean exchange that must remain when a request is granted.
 MIN_WORK_SHARE = 0.7
-# Share of the time left that may pass in the queue, beyond the objective.
+# Share of the latency objective that the wait and the mean work may take. With
+# more, a full service spends its slots on answers that come late: in virtual
+# time (bench/dispatch_sim.py), 1.0 had 0.49 in time and 0.5 had 0.61.
 QUEUE_SHARE = 0.5
 # Work older than this quantile of its route is taken to be stuck.
 STUCK_Z = 2.5
@@ -122,6 +124,8 @@
         self._floor = bounds.floor_share
         self._queue: list[_Queued] = []
         self._hold_s = FIRST_HOLD_S
+        # Slots that serve those who wait, as of a time.
+        self._slots, self._slots_s = 1, float('-inf')
         self._ended: deque[tuple[float, bool]] = deque()
         self._lost = 0
         self._retries = RetryWindow(
@@ -153,10 +157,13 @@
 
     def risk(self, known: TargetState, now_s: float) -> float:
         """Return the chance that a target is failing, by all evidence."""
+        if known.risk_s == now_s:
+            return known.risk
         for flight in known.flights.values():
             survival = self._model(flight.ask).survival(flight.waited_s(now_s))
             flight.evidence.ratio = hang_ratio(survival)
-        return known.belief.now(now_s)
+        known.risk, known.risk_s = known.belief.now(now_s), now_s
+        return known.risk
 
     # Asks
 
@@ -176,9 +183,8 @@
         if ask.turn is Turn.HEDGE:
             return self._refuse(ask, 0.0, 'no free slot for a hedge')
         wait_s = self._wait_s(ahead, now_s)
-        # A long queue makes all its requests late and serves no more of them.
-        limit_s = max(ask.objective_s, QUEUE_SHARE * ask.left_s)
-        if wait_s + MIN_WORK_SHARE * self._hold_s > min(ask.left_s, limit_s):
+        limit_s = min(ask.left_s, self._queue_limit_s(ask, ahead))
+        if wait_s + MIN_WORK_SHARE * self._hold_s > limit_s:
             return self._last_chance(ask, ahead, wait_s, now_s)
         queued = _Queued(ask=ask, at_s=now_s, deadline_s=now_s + ask.left_s)
         self._queue.append(queued)
@@ -196,6 +202,9 @@
         flight = self.flights.get(ticket)
         if flight is not None:
             flight.heard_s = now_s
+            known = self.targets.get(flight.target)
+            if known is not None:
+                known.risk_s = float('-inf')
 
     def drop_entry(self, entry: str) -> None:
         """Forget asks of an entry that is gone; its work may go on."""
@@ -254,6 +263,7 @@
     ) -> None:
         model = self._model(flight.ask)
         belief = known.belief
+        known.risk_s = float('-inf')
         if result is Result.ANSWERED:
             known.note_warm(flight.ask.entry, now_s)
             belief.learn_latency(took_s, model)
@@ -476,11 +486,22 @@
                 return grant
         return self._refuse(ask, wait_s, 'no slot in time')
 
+    def _queue_limit_s(self, ask: Ask, ahead: int) -> float:
+        """Return how long an ask behind others may have to wait and run."""
+        share = QUEUE_SHARE if ahead else 1.0
+        return share * ask.objective_s
+
     def _ahead(self, priority: int) -> int:
         return sum(each.ask.priority <= priority for each in self._queue)
 
     def _wait_s(self, ahead: int, now_s: float) -> float:
         """Return how long one waits behind a number of others."""
+        if self._slots_s != now_s:
+            self._slots, self._slots_s = self._usable_slots(now_s), now_s
+        return (ahead + 1) * self._hold_s / self._slots
+
+    def _usable_slots(self, now_s: float) -> int:
+        """Return how many slots serve those who wait, at least 1."""
         slots = 0
         for each in self.targets.values():
             if not each.open():
@@ -490,9 +511,7 @@
             )
             if self.risk(each, now_s) < USABLE_RISK:
                 slots += max(0, each.entry.slots - stuck)
-        if not slots:
-            slots = 1
-        return (ahead + 1) * self._hold_s / slots
+        return max(1, slots)
 
     def _refuse(self, ask: Ask, retry_after_s: float, reason: str) -> Refuse:
         return Refuse(
--- a/carawaylane/decisions/held.py
+++ b/carawaylane/decisions/held.py
@@ -53,6 +53,9 @@
     # Digests of requests whose exchange broke off, and when.
     broke: dict[int, float] = Factory(dict)
     gone: bool = False
+    # The chance that it is failing, as of a time, until more is learned.
+    risk: float = 0.0
+    risk_s: float = float('-inf')
 
     def open(self) -> bool:
         """Return whether the target may get new work."""
--- a/tests/decisions/test_dispatch_load.py
+++ b/tests/decisions/test_dispatch_load.py
@@ -4,7 +4,10 @@
 load and seeds, so that they hold for any machine.
 """
 
-from bench.dispatch_sim import ROOMY, Baseline, Load, play
+from attrs import evolve
+
+from bench.dispatch_sim import ROOMY, TIGHT, Baseline, Load, play
+from carawaylane.decisions.dispatcher import Dispatcher
 
 SEEDS = 2
 
@@ -39,3 +42,17 @@
     urgent, other = found.by_priority[0], found.by_priority[1]
     assert urgent[0] / urgent[1] > other[0] / other[1]
     assert urgent[0] / urgent[1] > 0.95
+
+
+class Patient(Dispatcher):
+    """Lets requests queue as long as they may be served in time at all."""
+
+    def _queue_limit_s(self, ask, ahead):
+        return ask.objective_s
+
+
+def test_a_full_service_answers_in_time_rather_than_all_late():
+    load = evolve(TIGHT, rate_per_s=80.0, length_s=20)
+    ours, patient = play(load, 1), play(load, 1, Patient)
+    assert ours.in_time > patient.in_time
+    assert ours.lost + ours.late < patient.lost + patient.late
--- a/tests/decisions/test_dispatcher.py
+++ b/tests/decisions/test_dispatcher.py
@@ -83,7 +83,7 @@
 def test_what_surely_cannot_be_served_is_refused_at_once(ask):
     found = made('t1', slots=1)
     for _ in range(8):
-        found.ask(ask(left_s=5.0), 0.0)
+        found.ask(ask(left_s=5.0, objective_s=5.0), 0.0)
     verdict = found.ask(ask(left_s=0.5), 0.0)
     assert isinstance(verdict, Refuse)
     assert verdict.retry_after_s > 0.5
