--- a/tests/gateway/test_daemon.py
+++ b/tests/gateway/test_daemon.py
@@ -5,6 +5,7 @@
     Event,
     create_subprocess_exec,
     create_task,
+    open_connection,
     sleep,
     subprocess,
 )
@@ -12,7 +13,7 @@
 from json import dumps, loads
 from os import environ
 from random import Random
-from signal import SIGTERM
+from signal import SIGCONT, SIGHUP, SIGSTOP, SIGTERM
 
 from aiohttp import ClientError, ClientSession
 
@@ -21,7 +22,8 @@
 from carawaylane.gateway.daemon import EXIT_SETTINGS
 from carawaylane.kernel.kernel import Kernel
 from carawaylane.platform.boot import PATH_VARIABLE, read_boot
-from tests.gateway.conftest import plan
+from standins.raw_target import Reply
+from tests.gateway.conftest import plan, route, send
 
 
 def boot(store='127.0.0.1:9', **bounds):
@@ -52,12 +54,7 @@
     )
 
 
-async def test_a_process_serves_logs_and_stops_as_planned(fleet, tmp_path):
-    fleet.store.put('config', 'main', plan())
-    row = boot(fleet.store_address)
-    path = tmp_path / 'local.json'
-    path.write_text(dumps(row))
-    proc = await start(path)
+async def until_ready(proc, row):
     ready = f'http://{row["listen"]["readiness_address"]}/ready'
     async with ClientSession() as session:
         status = 0
@@ -67,12 +64,79 @@
             with suppress(ClientError):
                 async with session.get(ready) as resp:
                     status = resp.status
-        members = fleet.store.objects.setdefault('members', {})
-        await fleet.until(lambda: 'n1' in members)
-        proc.send_signal(SIGTERM)
+
+
+async def get(row, path):
+    host, _, port = row['listen']['front'].rpartition(':')
+    conn = await open_connection(host, int(port))
+    try:
+        return await send(conn, path)
+    finally:
+        conn[1].close()
+
+
+async def ended(proc):
+    proc.send_signal(SIGTERM)
     out, err = await proc.communicate()
     assert proc.returncode == 0, err
-    names = [loads(line)['name'] for line in out.splitlines()]
+    return [loads(line)['name'] for line in out.splitlines()]
+
+
+async def test_a_process_that_was_frozen_serves_again(fleet, tmp_path):
+    """The request that came in meanwhile is answered, too."""
+    fleet.store.put('config', 'main', plan())
+    await fleet.target('i-1')
+    row = boot(fleet.store_address)
+    path = tmp_path / 'local.json'
+    path.write_text(dumps(row))
+    proc = await start(path)
+    await until_ready(proc, row)
+    proc.send_signal(SIGSTOP)
+    meanwhile = create_task(get(row, '/read/x'))
+    # Longer than a watch may take, so that it has timed out on waking.
+    await sleep(3)
+    assert not meanwhile.done()
+    proc.send_signal(SIGCONT)
+    assert (await meanwhile).status == 200
+    fleet.store.put('config', 'main', plan(2, [route('new', '/new/')]))
+    status = 0
+    while status != 200:
+        status = (await get(row, '/new/x')).status
+        await sleep(0.05)
+    await ended(proc)
+
+
+async def test_sighup_cuts_nothing_that_is_under_way(fleet, tmp_path):
+    fleet.store.put('config', 'main', plan())
+    target = await fleet.target('i-1', lambda n, data: Reply(after_s=0.6))
+    row = boot(fleet.store_address)
+    path = tmp_path / 'local.json'
+    path.write_text(dumps(row))
+    proc = await start(path)
+    await until_ready(proc, row)
+    under_way = create_task(get(row, '/read/x'))
+    while not target.seen:
+        await sleep(0.01)
+    row['bounds']['grace_s'] = 9
+    path.write_text(dumps(row))
+    proc.send_signal(SIGHUP)
+    assert (await under_way).status == 200
+    # A file that changed is read within a second.
+    await sleep(1.2)
+    assert (await get(row, '/read/y')).status == 200
+    assert 'settings-read' in await ended(proc)
+
+
+async def test_a_process_serves_logs_and_stops_as_planned(fleet, tmp_path):
+    fleet.store.put('config', 'main', plan())
+    row = boot(fleet.store_address)
+    path = tmp_path / 'local.json'
+    path.write_text(dumps(row))
+    proc = await start(path)
+    await until_ready(proc, row)
+    members = fleet.store.objects.setdefault('members', {})
+    await fleet.until(lambda: 'n1' in members)
+    names = await ended(proc)
     for name in ('node-started', 'config-in-force', 'node-draining'):
         assert name in names
     assert names[-1] == 'node-stopped'
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -1,9 +1,11 @@
 """Several nodes: news, homes, and the store's troubles."""
 
 from asyncio import gather, sleep
+from time import time
 
 from carawaylane.decisions.spread import ranked
 from carawaylane.gateway.directory import LAPSE_S
+from carawaylane.kernel import kernel
 from carawaylane.messages.stored import Kind
 from tests.gateway.conftest import ask, plan, route
 
@@ -153,3 +155,36 @@
     directory.replicas[Kind.TARGETS].revision = 0
     assert directory.plan is not None
     assert not node.find('callers').ready()
+
+
+async def test_a_silent_store_holds_nothing_back(fleet):
+    """Requests go on, and the next version comes once it answers."""
+    await fleet.target('i-1')
+    nodes = await three(fleet)
+    fleet.store.fault = 'silent'
+    for _ in range(20):
+        answers = await gather(*(ask(node, '/read/x') for node in nodes))
+        assert {each.status for each in answers} == {200}
+        await sleep(0.15)
+    fleet.store.fault = ''
+    fleet.store.put('config', 'main', plan(2, [route('new', '/new/')]))
+    for node in nodes:
+        directory = node.find('directory')
+        await fleet.until(lambda d=directory: d.plan.version == 2)
+    assert (await ask(nodes[0], '/new/x')).status == 200
+
+
+async def test_a_clock_that_jumps_changes_nothing(fleet, monkeypatch):
+    """Waits and ages are of the steady clock."""
+    await fleet.target('i-1')
+    nodes = await three(fleet)
+    off_s = [0.0]
+    monkeypatch.setattr(kernel, 'time', lambda: time() + off_s[0])
+    for off_s[0] in (3600.0, -3600.0, 0.0):
+        fleet.store.put('config', 'main', plan(2 + int(abs(off_s[0]))))
+        for node in nodes:
+            assert (await ask(node, '/read/x')).status == 200
+    for node in nodes:
+        directory = node.find('directory')
+        await fleet.until(lambda d=directory: d.plan.version > 1)
+        assert (await ask(node, '/read/x')).status == 200
