--- a/carawaylane/commands/explain.py
+++ b/carawaylane/commands/explain.py
@@ -174,6 +174,24 @@
     return (
         f'target {sent["target"]} {what}; it may have run. When it was '
         f'chosen, the chance that it fails was put at {sent["risk"]}'
+        + _hedges(rows)
+    )
+
+
+def _hedges(rows: list[Row]) -> str:
+    """Return why no second target was asked, if that is logged."""
+    refused = [
+        row
+        for row in rows
+        if row.get('event') == REQUEST_REFUSED.number
+        and row.get('turn') == 'HEDGE'
+    ]
+    if not refused:
+        return ''
+    last = refused[-1]
+    return (
+        f'. A second target was asked for {len(refused)} times, the last '
+        f'time refused: {last["reason"]} ({last["waiting"]} waiting)'
     )
 
 
--- a/tests/commands/test_explain.py
+++ b/tests/commands/test_explain.py
@@ -8,6 +8,11 @@
 from carawaylane.commands.cli import app
 from carawaylane.commands.explain import Explanation, explain_request
 from carawaylane.messages.outcomes import Problem
+from carawaylane.telemetry.events import (
+    REQUEST_ENDED,
+    REQUEST_REFUSED,
+    TARGET_RESULT,
+)
 from standins.raw_target import Reply
 from tests.gateway.conftest import Fleet, ask, plan, route
 
@@ -97,6 +102,31 @@
     assert cause == 'target i-1 answered 200'
 
 
+def test_hedges_that_found_no_slot_are_told():
+    """Found on a full day: the cause named the hung target only."""
+    rows = [
+        {
+            'event': REQUEST_REFUSED.number,
+            'turn': 'HEDGE',
+            'reason': 'no free slot for a hedge',
+            'waiting': 31,
+        },
+        {
+            'event': TARGET_RESULT.number,
+            'target': 'i-1',
+            'result': 'OVERDUE',
+            'took_ms': 1745,
+            'risk': 0.56,
+            'reason': 'no answer in time',
+        },
+        {'event': REQUEST_ENDED.number, 'status': 504, 'reason': 'late'},
+    ]
+    lines = [dumps({'request': 'lost', **row}) for row in rows]
+    found = explain_request('lost', lines)
+    assert 'i-1 gave no answer within 1745 ms' in found.cause
+    assert 'no free slot for a hedge (31 waiting)' in found.cause
+
+
 def test_an_unknown_id_says_what_to_look_for():
     found = explain_request('x', ['{"request": "y"}'])
     assert isinstance(found, Problem)
