--- a/bench/dispatch_sim.py
+++ b/bench/dispatch_sim.py
@@ -63,8 +63,6 @@
     idempotent: float = 0.0
     # Nodes that take the requests; each has connections of its own.
     entries: int = 1
-    # From when to when the rate is how many times as high.
-    burst: tuple[float, float, float] = (0.0, 0.0, 1.0)
 
 
 @define(kw_only=True)
@@ -144,7 +142,6 @@
     ask: Ask
     at_s: float
     end_s: float
-    ended: bool = False
     running: list[_Send] = Factory(list)
     tried: frozenset[str] = frozenset()
     # The ask for a hedge that waits at the home.
@@ -237,11 +234,8 @@
 
     def _arrive(self, now_s: float, number: int) -> None:
         load = self.load
-        start_s, end_s, factor = load.burst
-        rate = load.rate_per_s
-        rate *= factor if start_s <= now_s < end_s else 1.0
         if now_s < load.length_s:
-            next_s = now_s + self._arrivals.expovariate(rate)
+            next_s = now_s + self._arrivals.expovariate(load.rate_per_s)
             self._at(next_s, self._arrive, number + 1)
         ask = Ask(
             ticket=(f'e{number % load.entries}', number),
@@ -348,7 +342,6 @@
             self._take(verdict, now_s)
 
     def _end(self, job: _Job, served: bool) -> None:
-        job.ended = True
         self._ends.append((job.at_s, not served))
         row = self.tally.by_priority.setdefault(job.ask.priority, [0, 0])
         row[0] += served
--- a/carawaylane/gateway/daemon.py
+++ b/carawaylane/gateway/daemon.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import sys
-from asyncio import Event, get_running_loop, sleep
+from asyncio import get_running_loop, sleep
 from importlib import import_module
 from os import environ
 from pathlib import Path
 from random import Random
-from signal import SIGHUP, SIGINT, SIGTERM
+from signal import SIG_IGN, SIGHUP, SIGINT, SIGTERM, signal
 from typing import TYPE_CHECKING
 
 from uvloop import run
@@ -76,11 +76,11 @@
         return EXIT_SETTINGS
     log = log_to_stdout()
     kernel = Kernel(cfg=cfg, rng=Random())
-    reload = Event()
     loop = get_running_loop()
     for sig in (SIGTERM, SIGINT):
         loop.add_signal_handler(sig, kernel.wake.set)
-    loop.add_signal_handler(SIGHUP, reload.set)
+    # A changed settings file is seen without a signal, too.
+    signal(SIGHUP, SIG_IGN)
     for module in SERVICES.values():
         import_module(module)
     kernel.build(tuple(SERVICES))
@@ -90,7 +90,7 @@
         print(f'carawaylane: {exc}', file=sys.stderr)
         return EXIT_SETTINGS
     emit(NODE_STARTED, member=kernel.member, listen=cfg.listen)
-    watch = loop.create_task(_reload_loop(kernel, path, text, reload))
+    watch = loop.create_task(_reload_loop(kernel, path, text))
     await kernel.wake.wait()
     watch.cancel()
     if kernel.failure is None:
@@ -102,14 +102,10 @@
     return EXIT_BROKEN if kernel.failure is not None else 0
 
 
-async def _reload_loop(
-    kernel: Kernel, path: Path, text: str, reload: Event
-) -> None:
+async def _reload_loop(kernel: Kernel, path: Path, text: str) -> None:
     """Take in a changed settings file; addresses stay as they are."""
     while True:
         await sleep(RELOAD_PERIOD_S)
-        if reload.is_set():
-            reload.clear()
         now, cfg = read_file(path)
         if now == text:
             continue
--- a/carawaylane/gateway/exchanges.py
+++ b/carawaylane/gateway/exchanges.py
@@ -77,7 +77,6 @@
 class _Conn:
     proto: _Handler
     transport: Any
-    used: bool = False
     idle_s: float = 0.0
     keep_s: float = KEEP_S
 
@@ -159,7 +158,6 @@
 
     def _keep(self, address: str, conn: _Conn) -> None:
         conn.idle_s = self.kernel.now_s()
-        conn.used = True
         conns = self._kept[address]
         conns.append(conn)
         if len(conns) > MAX_KEPT:
--- a/carawaylane/platform/documents.py
+++ b/carawaylane/platform/documents.py
@@ -26,8 +26,6 @@
     Kind.TARGETS: 'servers',
     Kind.MEMBERS: 'members',
 }
-# The object that holds the newest configuration.
-PLAN_NAME = 'main'
 STATES = ('ready', 'draining')
 # Values that a route may leave out.
 DEFAULT_TIMEOUT_MS = 30_000
--- a/tests/gateway/test_daemon.py
+++ b/tests/gateway/test_daemon.py
@@ -2,7 +2,6 @@
 
 import sys
 from asyncio import (
-    Event,
     create_subprocess_exec,
     create_task,
     open_connection,
@@ -54,6 +53,16 @@
     )
 
 
+async def serving(fleet, tmp_path):
+    """Return a process that is ready, its settings and their file."""
+    row = boot(fleet.store_address)
+    path = tmp_path / 'local.json'
+    path.write_text(dumps(row))
+    proc = await start(path)
+    await until_ready(proc, row)
+    return proc, row, path
+
+
 async def until_ready(proc, row):
     ready = f'http://{row["listen"]["readiness_address"]}/ready'
     async with ClientSession() as session:
@@ -86,11 +95,7 @@
     """The request that came in meanwhile is answered, too."""
     fleet.store.put('config', 'main', plan())
     await fleet.target('i-1')
-    row = boot(fleet.store_address)
-    path = tmp_path / 'local.json'
-    path.write_text(dumps(row))
-    proc = await start(path)
-    await until_ready(proc, row)
+    proc, row, _ = await serving(fleet, tmp_path)
     proc.send_signal(SIGSTOP)
     meanwhile = create_task(get(row, '/read/x'))
     # Longer than a watch may take, so that it has timed out on waking.
@@ -109,11 +114,7 @@
 async def test_sighup_cuts_nothing_that_is_under_way(fleet, tmp_path):
     fleet.store.put('config', 'main', plan())
     target = await fleet.target('i-1', lambda n, data: Reply(after_s=0.6))
-    row = boot(fleet.store_address)
-    path = tmp_path / 'local.json'
-    path.write_text(dumps(row))
-    proc = await start(path)
-    await until_ready(proc, row)
+    proc, row, path = await serving(fleet, tmp_path)
     under_way = create_task(get(row, '/read/x'))
     while not target.seen:
         await sleep(0.01)
@@ -121,19 +122,17 @@
     path.write_text(dumps(row))
     proc.send_signal(SIGHUP)
     assert (await under_way).status == 200
-    # A file that changed is read within a second.
-    await sleep(1.2)
+    line = b''
+    while b'settings-read' not in line:
+        line = await proc.stdout.readline()
+        assert line
     assert (await get(row, '/read/y')).status == 200
-    assert 'settings-read' in await ended(proc)
+    await ended(proc)
 
 
 async def test_a_process_serves_logs_and_stops_as_planned(fleet, tmp_path):
     fleet.store.put('config', 'main', plan())
-    row = boot(fleet.store_address)
-    path = tmp_path / 'local.json'
-    path.write_text(dumps(row))
-    proc = await start(path)
-    await until_ready(proc, row)
+    proc, _, _ = await serving(fleet, tmp_path)
     members = fleet.store.objects.setdefault('members', {})
     await fleet.until(lambda: 'n1' in members)
     names = await ended(proc)
@@ -162,7 +161,7 @@
     text = dumps(row)
     path.write_text(text)
     kernel = Kernel(cfg=read_boot(text), rng=Random(1))
-    task = create_task(daemon._reload_loop(kernel, path, text, Event()))
+    task = create_task(daemon._reload_loop(kernel, path, text))
     row['bounds']['grace_s'] = 9
     path.write_text(dumps(row))
     await fleet.until(lambda: kernel.cfg.bounds.grace_s == 9)
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -15,6 +15,20 @@
     return await gather(*(fleet.node(f'n{number}') for number in range(3)))
 
 
+async def three_by_rank(fleet):
+    """Return the nodes by rank for `stock`; the last one has served."""
+    nodes = await three(fleet)
+    await fleet.target('i-1')
+    members = nodes[0].find('directory').members
+    await fleet.until(lambda: len(members) == 3)
+    by_name = {node.cfg.name: node for node in nodes}
+    home, second, entry = (
+        by_name[name] for name in ranked(members.values(), 'stock')
+    )
+    assert (await ask(entry, '/read/1')).status == 200
+    return home, second, entry
+
+
 def calls(fleet):
     return sum(fleet.store.calls.values())
 
@@ -89,34 +103,19 @@
 
 
 async def test_a_home_that_dies_is_replaced_within_a_request(fleet):
-    nodes = await three(fleet)
-    await fleet.target('i-1')
-    members = nodes[0].find('directory').members
-    await fleet.until(lambda: len(members) == 3)
-    names = ranked(members.values(), 'stock')
-    by_name = {node.cfg.name: node for node in nodes}
-    home, entry = by_name[names[0]], by_name[names[2]]
-    assert (await ask(entry, '/read/1')).status == 200
+    home, second, entry = await three_by_rank(fleet)
     assert home.find('dispatchers').dispatchers['stock'].targets
     await home.find('fleet_rpc').stop()
     assert (await ask(entry, '/read/2')).status == 200
-    second = by_name[names[1]].find('dispatchers')
-    assert 'stock' in second.dispatchers
+    assert 'stock' in second.find('dispatchers').dispatchers
 
 
 async def test_a_home_that_is_silent_is_passed_over(fleet):
-    nodes = await three(fleet)
-    await fleet.target('i-1')
-    members = nodes[0].find('directory').members
-    await fleet.until(lambda: len(members) == 3)
-    names = ranked(members.values(), 'stock')
-    by_name = {node.cfg.name: node for node in nodes}
-    home, entry = by_name[names[0]], by_name[names[2]]
-    assert (await ask(entry, '/read/1')).status == 200
+    home, _, entry = await three_by_rank(fleet)
     # Frozen: it takes messages and answers nothing.
     home.find('dispatchers').post = lambda msg: None
     assert (await ask(entry, '/write/2', method='POST')).status == 200
-    assert names[0] in entry.find('dispatch')._suspects
+    assert home.cfg.name in entry.find('dispatch')._suspects
 
 
 async def test_a_write_to_a_closed_stream_stops_no_node(fleet):
