--- a/bench/dispatch_sim.py
+++ b/bench/dispatch_sim.py
@@ -425,8 +425,11 @@
     idempotent=1.0,
     entries=44,
 )
+# Spells as fitted to the users' bench by fit_spells.
+LASTING = evolve(ROOMY, sick_s=9.5, well_s=30.0, sick_fails=0.85)
 LOADS = {
     'roomy': ROOMY,
+    'lasting': LASTING,
     'tight': TIGHT,
     'calm': Load(),
     'peak': Load(rate_per_s=85.0),
--- a/bench/gateway_slopes.py
+++ b/bench/gateway_slopes.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from random import Random
-from time import process_time
+from sys import argv, stderr
+from time import process_time, sleep
 
 from carawaylane.decisions.belief import Result
 from carawaylane.decisions.dispatcher import Dispatcher
@@ -14,8 +15,11 @@
 from carawaylane.messages.stored import Item, Items
 from carawaylane.rpc.fleet_codec import pack_ask, pack_done, pack_verdict
 from carawaylane.settings.host import Bounds
+from carawaylane.telemetry.events import REQUEST_GRANTED, emit, log_to_stdout
+from carawaylane.telemetry.log_writer import RATE_PER_S
 
 ASKS = 400
+LOG_LINES = 200
 
 
 def _ask(number: int) -> Ask:
@@ -118,8 +122,40 @@
     )
 
 
+def log_us(lines: int, seconds: float) -> float:
+    """Return processor time of a decision's line, written or left out.
+
+    All threads count; the lines come evenly over a time.
+    """
+    handler = log_to_stdout()
+    began = process_time()
+    for number in range(lines):
+        emit(
+            REQUEST_GRANTED,
+            request=f'{number:016x}',
+            service='wuno96b',
+            target='i-7f3a91c2',
+            risk=0.012,
+            turn='FIRST',
+            entry='front-heredia-1@1700000000000',
+        )
+        sleep(seconds / lines)
+    handler.flush_soon()
+    idle_s = process_time() - began
+    began = process_time()
+    for _ in range(lines):
+        sleep(seconds / lines)
+    return (idle_s - (process_time() - began)) / lines * 1e6
+
+
 def main() -> None:
     """Print the slopes."""
+    if '--log' in argv:
+        written = log_us(LOG_LINES, LOG_LINES / RATE_PER_S)
+        left_out = log_us(50 * LOG_LINES, LOG_LINES / RATE_PER_S)
+        print(f'line written: {written:.0f} us', file=stderr)
+        print(f'50 times as many: {left_out:.0f} us a line', file=stderr)
+        return
     for targets in (10, 35, 100, 200):
         print(f'ask with {targets} targets: {ask_us(targets):.0f} us')
     for members in (44, 130, 1400):
--- a/tests/decisions/test_dispatch_load.py
+++ b/tests/decisions/test_dispatch_load.py
@@ -6,7 +6,8 @@
 
 from attrs import evolve
 
-from bench.dispatch_sim import ROOMY, TIGHT, Baseline, Load, play
+from bench.dispatch_sim import LASTING, ROOMY, TIGHT, Baseline, Load, play
+from carawaylane.decisions import belief
 from carawaylane.decisions.dispatcher import Dispatcher
 from carawaylane.messages.dispatch import Refuse, Turn, Wait
 
@@ -26,6 +27,17 @@
     assert found.starved == 0
 
 
+def test_targets_that_fail_for_long_are_left_alone(monkeypatch):
+    """Found in logs: failures are three times as long and rare as taken."""
+    load = evolve(LASTING, length_s=40)
+    ours = play(load, 3)
+    monkeypatch.setattr(belief, 'LONG_RUN', 0.3)
+    monkeypatch.setattr(belief, 'RATE_PER_S', 1 / 7 + 1 / 3)
+    hasty = play(load, 3)
+    assert ours.total == hasty.total
+    assert ours.lost < hasty.lost
+
+
 def test_sound_targets_are_in_use_before_anything_is_lost():
     """Found on the bench: what is open when power fails is lost, too."""
     calm = evolve(ROOMY, sick_s=0.01, well_s=1000.0, length_s=20)
