--- a/carawaylane/commands/cli.py
+++ b/carawaylane/commands/cli.py
@@ -19,6 +19,7 @@
     label_targets,
 )
 from carawaylane.commands.explain import check_boot, explain_request
+from carawaylane.commands.gateways import Silent, ask_gateways
 from carawaylane.commands.output import render
 from carawaylane.commands.show import (
     ask_node,
@@ -48,6 +49,7 @@
 HELP_NODE = 'Administration address of a node; all members by default.'
 HELP_VERSION = 'Refuse if these documents changed after this version.'
 HELP_LOGS = 'Logs of all nodes; standard input by default.'
+HELP_METRICS = 'HOST:PORT of the metrics of a node.'
 HELP_SELECTOR = 'Selector over target labels.'
 
 Platform = Annotated[
@@ -276,6 +278,23 @@
     echo(render(service_rows(_replies(platform, node)), output=output))
 
 
+@status.command()
+def gateways(
+    addresses: Annotated[list[str], Argument(help=HELP_METRICS)],
+    output: Output = 'table',
+) -> None:
+    """Show nodes on the users' machines, from their metrics."""
+    found = run_async(ask_gateways(addresses))
+    rows = [each for each in found if not isinstance(each, Silent)]
+    if rows:
+        echo(render(rows, output=output))
+    silent = [each for each in found if isinstance(each, Silent)]
+    for each in silent:
+        echo(f'carawayctl: {each.address}: {each.reason}', err=True)
+    if silent:
+        raise Exit(EXIT_UNAVAILABLE)
+
+
 def main() -> None:
     """Run the command line."""
     app()
