A stopping node no longer waits for a store that is silent

Leaving the list of members was awaited (1.5 s until the call timed out) before the clock of the stop began, so the node still took a request at 28.97 s (3.75 s after SIGTERM; it refuses from 2.6 s on) and was killed at 31.22 s, 6.0 s after SIGTERM, at work. Ruled out: a late signal (the request reached its target from a node that had not begun to refuse at 4.05 s, which is 1.5 s plus 2.6 s). Change: the node leaves the list in a task of its own, which tries again until the store answers or the process ends. Test: fails on the code before (the drain hangs), passes now.

--- a/carawaylane/gateway/store_watch.py
+++ b/carawaylane/gateway/store_watch.py
@@ -60,8 +60,20 @@
         self.spawn(self._heartbeats())
 
     async def drain(self) -> None:
-        """Take this node off the list before it stops serving."""
-        await self._store.delete(Kind.MEMBERS, self.kernel.cfg.name)
+        """Take this node off the list while it still serves.
+
+        A store that is down must not hold up the stop.
+        """
+        self.spawn(self._leave())
+
+    async def _leave(self) -> None:
+        while True:
+            name = self.kernel.cfg.name
+            done = await self._store.delete(Kind.MEMBERS, name)
+            self._note(done)
+            if not isinstance(done, Unavailable):
+                return
+            await sleep(RETRY_S * (1 + self.kernel.rng.random()))
 
     async def stop(self) -> None:
         """Close the connections to the store."""
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -1,13 +1,14 @@
 """Several nodes: news, homes, and the store's troubles."""
 
-from asyncio import gather, sleep
+from asyncio import Event, gather, sleep, timeout
 from time import time
 
 from carawaylane.decisions.spread import ranked
 from carawaylane.gateway.directory import LAPSE_S
 from carawaylane.kernel import kernel
 from carawaylane.messages.stored import Kind
-from tests.gateway.conftest import ask, plan, route
+from carawaylane.storage.driver import Unavailable
+from tests.gateway.conftest import READY_TIMEOUT_S, ask, plan, route
 
 
 async def three(fleet):
@@ -145,6 +146,33 @@
     await fleet.until(lambda: leaver.cfg.name not in members)
 
 
+async def test_a_stop_does_not_wait_for_a_silent_store(fleet):
+    """Found on the bench: it served on too long and was killed at work."""
+    nodes = await three(fleet)
+    members = nodes[0].find('directory').members
+    await fleet.until(lambda: len(members) == 3)
+    leaver = nodes[2]
+    store = leaver.find('store_watch')._store
+    delete, answers = store.delete, Event()
+    asked = []
+
+    async def slow(kind, name):
+        asked.append(name)
+        if len(asked) == 1:
+            await answers.wait()
+            return Unavailable(reason='no answer')
+        return await delete(kind, name)
+
+    store.delete = slow
+    leaver.draining = True
+    async with timeout(READY_TIMEOUT_S):
+        await leaver.find('store_watch').drain()
+    answers.set()
+    # What a lost call left undone is done once the store answers.
+    await fleet.until(lambda: leaver.cfg.name not in members)
+    assert len(asked) == 2
+
+
 async def test_a_node_without_targets_is_not_ready(fleet):
     """Found in CI beside load: ready before targets, so all was refused."""
     fleet.store.put('config', 'main', plan())
