Read again: one reader of log lines, one pause, one prefix of metrics

fit_spells reads lines by the function that `why` has; the four waits before the store is asked again are one; the prefix of metrics and the operator's time-out for a node stand once; the floor looks its targets up by name instead of comparing each with each; tests of hedges in `why` share their lines. The source of the fitted priors names the page that has it.

--- a/bench/fit_spells.py
+++ b/bench/fit_spells.py
@@ -8,14 +8,14 @@
 from __future__ import annotations
 
 import argparse
-from json import JSONDecodeError, loads
 from math import exp, log
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from attrs import astuple, frozen
 from scipy.optimize import minimize
 
+from carawaylane.commands.explain import read_row
 from carawaylane.decisions import belief
 from carawaylane.decisions.belief import Result
 from carawaylane.telemetry.events import TARGET_REPORT
@@ -51,8 +51,8 @@
     """Return how requests ended, by target; other lines are passed over."""
     found: dict[str, Ends] = {}
     for line in lines:
-        row = _row(line)
-        if row.get('event') != TARGET_REPORT.number:
+        row = read_row(line)
+        if row is None or row.get('event') != TARGET_REPORT.number:
             continue
         took_s = row['took_ms'] / 1000
         hung = row['result'] == Result.OVERDUE.name or (
@@ -118,15 +118,6 @@
     )
 
 
-def _row(line: str) -> dict[str, Any]:
-    start = line.find('{')
-    try:
-        found = loads(line[start:]) if start >= 0 else {}
-    except JSONDecodeError:
-        return {}
-    return found if isinstance(found, dict) else {}
-
-
 def main() -> None:
     """Print the fit for each file of logs, beside the priors in force."""
     parser = argparse.ArgumentParser(description=__doc__)
--- a/carawaylane/commands/explain.py
+++ b/carawaylane/commands/explain.py
@@ -61,7 +61,7 @@
         row
         for line in lines
         if request_id in line
-        and (row := _row(line)) is not None
+        and (row := read_row(line)) is not None
         and row.get('request') == request_id
     ]
     if not rows:
@@ -82,7 +82,8 @@
         return Problem(place=str(path), reason=str(exc))
 
 
-def _row(line: str) -> Row | None:
+def read_row(line: str) -> Row | None:
+    """Return the event of a line of logs; None if it holds none."""
     start = line.find('{')
     if start < 0:
         return None
--- a/carawaylane/commands/gateways.py
+++ b/carawaylane/commands/gateways.py
@@ -9,16 +9,15 @@
 from attrs import frozen
 from prometheus_client.parser import text_string_to_metric_families
 
+from carawaylane.commands.show import NODE_TIMEOUT_S
 from carawaylane.gateway.status import METRICS_PATH
+from carawaylane.telemetry.metrics import PREFIX
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from prometheus_client.samples import Sample
 
-# As long as an operator waits for a node that hangs.
-TIMEOUT_S = 2.0
-PREFIX = 'carawaylane_'
 # Columns of a row, and the gauge that fills each.
 GAUGES = {
     'version': 'plan_version',
@@ -45,7 +44,7 @@
 
 async def ask_gateways(addresses: Iterable[str]) -> list[Row | Silent]:
     """Return a row for each node, in their order."""
-    timeout = ClientTimeout(total=TIMEOUT_S)
+    timeout = ClientTimeout(total=NODE_TIMEOUT_S)
     async with ClientSession(timeout=timeout) as session:
         return await gather(*(_ask(session, each) for each in addresses))
 
--- a/carawaylane/decisions/belief.py
+++ b/carawaylane/decisions/belief.py
@@ -19,7 +19,7 @@
 # Mean time until a well target fails, and until a failing one recovers, and
 # the share of its requests that a failing target fails, a well one fails.
 # Fitted by likelihood to how 12,300 requests to 123 targets ended on three
-# days of the users' bench (docs/measurements/gateway.md).
+# days of the users' bench (bench/fit_spells, docs/design/queueing.md).
 WELL_S = 30.0
 FAILING_S = 9.5
 LONG_RUN = FAILING_S / (WELL_S + FAILING_S)
--- a/carawaylane/decisions/dispatcher.py
+++ b/carawaylane/decisions/dispatcher.py
@@ -103,6 +103,7 @@
 @define(kw_only=True)
 class _Queued:
     ask: Ask
+    # When it began to wait; of a hedge, its lead before that.
     at_s: float
     deadline_s: float
 
@@ -427,7 +428,7 @@
         return cost
 
     def _due(self, near: list[TargetState], now_s: float) -> list[TargetState]:
-        """Return those that the floor wants tried, if it is in danger."""
+        """Return those that the floor wants tried, while it binds."""
         stuck = sum(
             self._stuck(flight, now_s) for flight in self.flights.values()
         )
@@ -439,12 +440,14 @@
             for each in self.targets.values()
             if each.open() and self.risk(each, now_s) < limit
         ]
-        untried = [
-            each for each in well if now_s - each.belief.tried_s >= UNTRIED_S
-        ]
+        untried = {
+            each.entry.name
+            for each in well
+            if now_s - each.belief.tried_s >= UNTRIED_S
+        }
         if self._floor.met(len(well), len(untried)):
             return near
-        return [each for each in near if each in untried] or near
+        return [each for each in near if each.entry.name in untried] or near
 
     def _stuck(self, flight: Flight, now_s: float) -> bool:
         limit_s = self._model(flight.ask).quantile_s(STUCK_Z)
--- a/carawaylane/gateway/store_watch.py
+++ b/carawaylane/gateway/store_watch.py
@@ -67,13 +67,13 @@
         self.spawn(self._leave())
 
     async def _leave(self) -> None:
+        name = self.kernel.cfg.name
         while True:
-            name = self.kernel.cfg.name
             done = await self._store.delete(Kind.MEMBERS, name)
             self._note(done)
             if not isinstance(done, Unavailable):
                 return
-            await sleep(RETRY_S * (1 + self.kernel.rng.random()))
+            await self._pause()
 
     async def stop(self) -> None:
         """Close the connections to the store."""
@@ -113,7 +113,7 @@
                 done = await self._store.replace(Kind.MEMBERS, own.name, value)
             if done is True:
                 return
-            await sleep(RETRY_S * (1 + self.kernel.rng.random()))
+            await self._pause()
 
     async def _follow(self, kind: Kind) -> None:
         while True:
@@ -125,6 +125,10 @@
             else:
                 await self._watch(kind)
 
+    async def _pause(self) -> None:
+        """Wait before the store is asked again; not all nodes at once."""
+        await sleep(RETRY_S * (1 + self.kernel.rng.random()))
+
     def _duty(self, kind: Kind) -> bool:
         cfg = self.kernel.cfg
         replica = self._directory.replicas[kind]
@@ -147,7 +151,7 @@
         found = await self._store.list_all(kind)
         self._note(found)
         if isinstance(found, Unavailable):
-            await sleep(RETRY_S * (1 + self.kernel.rng.random()))
+            await self._pause()
             return
         self._learn(kind, found)
 
@@ -164,7 +168,7 @@
                 emit(HISTORY_EXPIRED, kind=kind.name, revision=revision)
                 await self._list(kind)
             case Unavailable():
-                await sleep(RETRY_S * (1 + self.kernel.rng.random()))
+                await self._pause()
 
     def _learn(self, kind: Kind, found: Items) -> None:
         if kind is Kind.TARGETS:
--- a/carawaylane/telemetry/metrics.py
+++ b/carawaylane/telemetry/metrics.py
@@ -10,6 +10,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge
 from prometheus_client.exposition import generate_latest
 
+PREFIX = 'carawaylane_'
 LOWEST_US = 1
 HIGHEST_US = 120_000_000
 DIGITS = 2
@@ -33,7 +34,7 @@
         counter = self._counters.get(name)
         if counter is None:
             counter = Counter(
-                f'carawaylane_{name}',
+                f'{PREFIX}{name}',
                 name,
                 sorted(labels),
                 registry=self.registry,
@@ -55,7 +56,7 @@
         """Set a gauge."""
         gauge = self._gauges.get(name)
         if gauge is None:
-            gauge = Gauge(f'carawaylane_{name}', name, registry=self.registry)
+            gauge = Gauge(f'{PREFIX}{name}', name, registry=self.registry)
             self._gauges[name] = gauge
         gauge.set(value)
 
--- a/tests/commands/test_explain.py
+++ b/tests/commands/test_explain.py
@@ -103,15 +103,10 @@
     assert cause == 'target i-1 answered 200'
 
 
-def test_hedges_that_found_no_slot_are_told():
-    """Found on a full day: the cause named the hung target only."""
+def explain_hang(hedge):
+    """Explain a request that hung, with the line of its hedge."""
     rows = [
-        {
-            'event': REQUEST_REFUSED.number,
-            'turn': 'HEDGE',
-            'reason': 'no free slot for a hedge',
-            'waiting': 31,
-        },
+        hedge,
         {
             'event': TARGET_RESULT.number,
             'target': 'i-1',
@@ -123,31 +118,30 @@
         {'event': REQUEST_ENDED.number, 'status': 504, 'reason': 'late'},
     ]
     lines = [dumps({'request': 'lost', **row}) for row in rows]
-    found = explain_request('lost', lines)
+    return explain_request('lost', lines)
+
+
+def test_hedges_that_found_no_slot_are_told():
+    """Found on a full day: the cause named the hung target only."""
+    hedge = {
+        'event': REQUEST_REFUSED.number,
+        'turn': 'HEDGE',
+        'reason': 'no free slot for a hedge',
+        'waiting': 31,
+    }
+    found = explain_hang(hedge)
     assert 'i-1 gave no answer within 1745 ms' in found.cause
     assert 'no free slot for a hedge (31 waiting)' in found.cause
 
 
 def test_a_hedge_that_still_waited_is_told():
-    rows = [
-        {
-            'event': REQUEST_QUEUED.number,
-            'turn': 'HEDGE',
-            'expect_ms': 420,
-            'waiting': 7,
-        },
-        {
-            'event': TARGET_RESULT.number,
-            'target': 'i-1',
-            'result': 'OVERDUE',
-            'took_ms': 1745,
-            'risk': 0.56,
-            'reason': 'no answer in time',
-        },
-        {'event': REQUEST_ENDED.number, 'status': 504, 'reason': 'late'},
-    ]
-    lines = [dumps({'request': 'lost', **row}) for row in rows]
-    found = explain_request('lost', lines)
+    hedge = {
+        'event': REQUEST_QUEUED.number,
+        'turn': 'HEDGE',
+        'expect_ms': 420,
+        'waiting': 7,
+    }
+    found = explain_hang(hedge)
     assert 'still queued when it ended (7 waiting' in found.cause
 
 
