Log and count the retries that each home grants

Change: events home-started (rank of the node) and retry-usage (a line a second for each service with retries), counter grants_total by turn. No decision changes.

--- a/carawaylane/decisions/dispatcher.py
+++ b/carawaylane/decisions/dispatcher.py
@@ -21,7 +21,7 @@
     Result,
 )
 from carawaylane.decisions.quarantine import Quarantine
-from carawaylane.decisions.retry_window import RetryWindow
+from carawaylane.decisions.retry_window import RetryUsage, RetryWindow
 from carawaylane.decisions.target_state import InFlightRequest, TargetState
 from carawaylane.decisions.usage_floor import UNTRIED_S, UsageFloor
 from carawaylane.messages.dispatch import (
@@ -290,6 +290,10 @@
             for target in self.targets.values()
         )
 
+    def retry_usage(self, now_s: float) -> RetryUsage:
+        """Return how much of the retry budget this home has granted."""
+        return self._retry_window.usage(now_s)
+
     # Results
 
     def record_result(
--- a/carawaylane/gateway/dispatchers.py
+++ b/carawaylane/gateway/dispatchers.py
@@ -25,9 +25,11 @@
     Ticket,
 )
 from carawaylane.telemetry.events import (
+    HOME_STARTED,
     REQUEST_GRANTED,
     REQUEST_QUEUED,
     REQUEST_REFUSED,
+    RETRY_USAGE,
     TARGET_REPORT,
     emit,
 )
@@ -42,6 +44,8 @@
 # Dispatchers with an empty queue are run at this longer period, so that they
 # drop requests in flight whose entry will no longer report a result.
 IDLE_PERIOD_S = 0.5
+# Period at which a home logs its use of the retry budget of each service.
+USAGE_LOG_PERIOD_S = 1.0
 
 
 @frozen(kw_only=True)
@@ -98,6 +102,7 @@
         self._directory.subscribe(self)
         await super().start()
         self.spawn(self._queue_loop())
+        self.spawn(self._usage_log_loop())
 
     def dispatcher(self, service_name: str) -> Dispatcher:
         """Return the dispatcher of a service, created on first use."""
@@ -111,6 +116,7 @@
                 self._directory.targets_of(service_name), now_s
             )
             self.dispatchers[service_name] = dispatcher
+            self._log_home_started(service_name)
         return dispatcher
 
     @handles(TargetsChanged)
@@ -192,11 +198,35 @@
             if since_idle_run_s >= IDLE_PERIOD_S:
                 since_idle_run_s = 0.0
 
+    async def _usage_log_loop(self) -> None:
+        while True:
+            await sleep(USAGE_LOG_PERIOD_S)
+            for dispatcher in self.dispatchers.values():
+                usage = dispatcher.retry_usage(self.kernel.now_s())
+                if usage.retries:
+                    emit(
+                        RETRY_USAGE,
+                        service=dispatcher.service,
+                        first_attempts=usage.first_attempts,
+                        retries=usage.retries,
+                        limit=round(usage.limit),
+                    )
+
+    def _log_home_started(self, service_name: str) -> None:
+        """Log the rank of this node for the service; 0 is its home."""
+        names = self._directory.ranked_members(service_name)
+        own_name = self.kernel.cfg.name
+        rank = names.index(own_name) if own_name in names else len(names)
+        emit(HOME_STARTED, service=service_name, rank=rank, members=len(names))
+
     def _log_reply(
         self, service_name: str, request: SlotRequest, reply: SlotReply
     ) -> None:
         match reply:
             case Grant():
+                self._metrics.count(
+                    'grants', service=service_name, turn=request.attempt.name
+                )
                 emit(
                     REQUEST_GRANTED,
                     request=request.request_id,
--- a/carawaylane/telemetry/events.py
+++ b/carawaylane/telemetry/events.py
@@ -188,6 +188,18 @@
 REQUEST_ENDED = _declare_event(
     605, 'request-ended', _INFO, 'An entry answered a caller.'
 )
+HOME_STARTED = _declare_event(
+    606,
+    'home-started',
+    _INFO,
+    'The node acts as a home of a service for the first time.',
+)
+RETRY_USAGE = _declare_event(
+    607,
+    'retry-usage',
+    _INFO,
+    'How many retries a home has granted in the window of the budget.',
+)
 
 
 class JsonFormatter(std_logging.Formatter):
