--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -3,11 +3,16 @@
 from asyncio import Event, gather, sleep, timeout
 from time import time
 
+from attrs import evolve
+
 from carawaylane.decisions.dissemination import rank_members
 from carawaylane.gateway.directory import LAPSED_GRACE_S
+from carawaylane.gateway.dispatch import _Avoidance
 from carawaylane.kernel import kernel
 from carawaylane.messages.stored_objects import ObjectKind
+from carawaylane.settings.gateway import Bounds
 from carawaylane.storage.driver import Unavailable
+from standins.raw_target import Reply
 from tests.gateway.conftest import (
     READY_TIMEOUT_S,
     fetch,
@@ -41,6 +46,13 @@
     return home, second_home, entry
 
 
+RETRY_SLACK = 20
+SHED = (
+    b'HTTP/1.1 503 Service Unavailable\r\nRequest-Id: @ID@\r\n'
+    b'Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+)
+
+
 def count_store_calls(fleet):
     return sum(fleet.store.calls.values())
 
@@ -125,6 +137,67 @@
     assert 'stock' in second_home.find('dispatchers').dispatchers
 
 
+async def start_shedding_targets(fleet):
+    return [
+        await fleet.start_target(
+            f'i-{number}', lambda *_: Reply(data=SHED), slots=40
+        )
+        for number in range(3)
+    ]
+
+
+def limit_retries(nodes):
+    """Allow a retry for every fifth request, and RETRY_SLACK more."""
+    for node in nodes:
+        node.cfg = evolve(
+            node.cfg, bounds=Bounds(retry_ratio=0.2, retry_slack=RETRY_SLACK)
+        )
+
+
+def assert_within_retry_budget(targets, requests):
+    received = sum(len(target.requests) for target in targets)
+    assert 0 < received - requests <= 0.2 * requests + RETRY_SLACK
+
+
+async def test_homes_that_do_not_hear_each_other_share_one_retry_budget(
+    fleet,
+):
+    """Each node is a home of its own if no other node replies to it."""
+    targets = await start_shedding_targets(fleet)
+    nodes = await start_three_nodes(fleet)
+    limit_retries(nodes)
+    for node in nodes:
+        members = node.find('directory').members
+        await fleet.wait_until(lambda m=members: len(m) == 3)
+        node.find('dispatch')._avoided_homes = {
+            other.cfg.name: _Avoidance(until_s=float('inf'), duration_s=1.0)
+            for other in nodes
+            if other is not node
+        }
+    for number in range(40):
+        await gather(
+            *(fetch(node, f'/write/{number}', method='POST') for node in nodes)
+        )
+    assert_within_retry_budget(targets, 40 * len(nodes))
+
+
+async def test_the_successor_of_a_home_continues_its_retry_budget(fleet):
+    home, second_home, entry = await start_three_ranked_nodes(fleet)
+    fleet.store.remove('servers', 'i-1')
+    targets = await start_shedding_targets(fleet)
+    limit_retries([home, second_home, entry])
+    for node in (home, second_home, entry):
+        directory = node.find('directory')
+        await fleet.wait_until(lambda d=directory: len(d.targets) == 3)
+    home.find('dispatchers').dispatchers.clear()
+    for number in range(60):
+        if number == 30:
+            await home.find('fleet_rpc').stop()
+        await fetch(entry, f'/write/{number}', method='POST')
+    assert 'stock' in second_home.find('dispatchers').dispatchers
+    assert_within_retry_budget(targets, 60)
+
+
 async def test_a_home_that_does_not_reply_is_avoided(fleet):
     home, _, entry = await start_three_ranked_nodes(fleet)
     # As if its process were suspended: messages arrive, but no reply is sent.
