A call on a connection that another call closed counts as lost

Cause: calls share a connection to each node, and a call that times out closes it. Calls that wait to write, since the peer does not read, are not yet known to the connection, so they are not cancelled: they go on when the loop lets them write, and fail with AttributeError (_transport) while the connection closes, or RuntimeError once it is closed. Neither is a lost connection to the node, so its task failed and the process ended. Class of fault: errors of a library that stand for a lost connection, taken for a broken invariant. Change: rpc/connections.py turns both into ConnectionResetError, only for objects of the connection; used for calls and streams of both daemons (gateway/links.py, services/peers.py), where only the writes of streams to homes were covered.

--- a/carawaylane/gateway/fleet_rpc.py
+++ b/carawaylane/gateway/fleet_rpc.py
@@ -14,7 +14,11 @@
     ReportStillWaiting,
     RequestSlot,
 )
-from carawaylane.gateway.links import RPC_ERRORS, send_message
+from carawaylane.gateway.links import (
+    RPC_ERRORS,
+    receive_message,
+    send_message,
+)
 from carawaylane.kernel.service import Service, service
 from carawaylane.rpc.fleet_codec import pack_slot_reply, unpack_slot_request
 from carawaylane.rpc.fleet_grpc import FleetBase
@@ -39,14 +43,14 @@
 
         The first message identifies the entry.
         """
-        hello = await stream.recv_message()
+        hello = await receive_message(stream)
         if hello is None:
             return
         replies: Queue[SlotReply] = Queue()
         sender = self._svc.spawn(_send_replies(stream, replies))
         try:
             while True:
-                call = await stream.recv_message()
+                call = await receive_message(stream)
                 if call is None:
                     return
                 self._handle_call(call, hello, replies)
--- a/carawaylane/gateway/links.py
+++ b/carawaylane/gateway/links.py
@@ -15,6 +15,7 @@
 from h2.exceptions import H2Error
 
 from carawaylane.kernel.service import Service, service
+from carawaylane.rpc.connections import closed_connection_is_reset
 from carawaylane.rpc.fleet_codec import unpack_slot_reply
 from carawaylane.rpc.fleet_grpc import FleetStub
 from carawaylane.telemetry.events import LINK_LOST, LINK_OPEN, emit
@@ -44,11 +45,17 @@
 
 async def send_message(stream: Any, msg: Message) -> None:
     """Send a message; raise one of RPC_ERRORS if the stream is lost."""
-    try:
+    with closed_connection_is_reset():
         await stream.send_message(msg)
-    except RuntimeError as exc:
-        # The event loop raises this if the transport is already closed.
-        raise ConnectionResetError(str(exc)) from exc
+
+
+async def receive_message(stream: Any) -> Any:
+    """Return the next message, or None at the end of the stream.
+
+    Raises one of RPC_ERRORS if the stream is lost.
+    """
+    with closed_connection_is_reset():
+        return await stream.recv_message()
 
 
 class HomeStream:
@@ -113,7 +120,7 @@
 
     async def _receive_replies(self, stream: Any, entry: str) -> None:
         while True:
-            reply = await stream.recv_message()
+            reply = await receive_message(stream)
             if reply is None:
                 return
             self._on_reply(unpack_slot_reply(reply, entry))
@@ -142,7 +149,8 @@
             self._channels[address] = channel
         try:
             async with timeout(CALL_TIMEOUT_S):
-                return await getattr(FleetStub(channel), method)(msg)
+                with closed_connection_is_reset():
+                    return await getattr(FleetStub(channel), method)(msg)
         except RPC_ERRORS as exc:
             # The connection may be half-open; the next call opens a new one.
             if self._channels.get(address) is channel:
--- a/carawaylane/services/peers.py
+++ b/carawaylane/services/peers.py
@@ -20,6 +20,7 @@
 from carawaylane.messages.exchange import AnswerChunk, Request
 from carawaylane.messages.outcomes import Failed, Unknown
 from carawaylane.rpc.codec import pack_request, unpack_chunk
+from carawaylane.rpc.connections import closed_connection_is_reset
 from carawaylane.rpc.node_grpc import NodeStub
 from carawaylane.rpc.node_pb2 import ForwardRequest, PingRequest
 from carawaylane.telemetry.events import RPC_FAILED, emit
@@ -120,7 +121,10 @@
             try:
                 async with timeout(REPLACED_PING_S):
                     await self._block_if_cut(member)
-                    await connection.stub.Ping(ping, metadata=self._metadata())
+                    with closed_connection_is_reset():
+                        await connection.stub.Ping(
+                            ping, metadata=self._metadata()
+                        )
             except RPC_ERRORS:
                 break
             await sleep(REPLACED_PING_S)
@@ -134,9 +138,10 @@
             async with timeout(timeout_s):
                 await self._block_if_cut(member)
                 connection = await self._connect(member)
-                return await getattr(connection.stub, method)(
-                    msg, timeout=timeout_s, metadata=self._metadata()
-                )
+                with closed_connection_is_reset():
+                    return await getattr(connection.stub, method)(
+                        msg, timeout=timeout_s, metadata=self._metadata()
+                    )
         except (*RPC_ERRORS, NeverSentError) as exc:
             emit(
                 RPC_FAILED,
@@ -197,16 +202,17 @@
         connection.open_forwards += 1
         last_chunk: AnswerChunk | None = None
         try:
-            async with connection.stub.Forward.open(
-                metadata=self._metadata()
-            ) as stream:
-                await stream.send_message(pack_request(req, hop), end=True)
-                async for msg in stream:
-                    chunk = unpack_chunk(msg)
-                    if chunk.outcome is None:
-                        yield chunk
-                    else:
-                        last_chunk = chunk
+            with closed_connection_is_reset():
+                async with connection.stub.Forward.open(
+                    metadata=self._metadata()
+                ) as stream:
+                    await stream.send_message(pack_request(req, hop), end=True)
+                    async for msg in stream:
+                        chunk = unpack_chunk(msg)
+                        if chunk.outcome is None:
+                            yield chunk
+                        else:
+                            last_chunk = chunk
         except RPC_ERRORS:
             if last_chunk is None:
                 raise
