Retry budget: entries report their attempts, homes add them up

While the home of a service does not reply, entries ask the next home or decide alone, so several counts exist at once, and a successor starts with none. Class of fault: a bound for the whole fleet that each of several nodes keeps with a count of its own. Why it works: the counts belong to the entries, which take the requests; the sum does not depend on who grants. Entries of a build without the reports count as having neither, so their retries share the constant only. A search over up to 8 homes that entries change at random stays in the bound. The test of the budget now passes the reports, as the home no longer counts first attempts itself; its bounds are the same.

--- a/bench/dispatch_sim.py
+++ b/bench/dispatch_sim.py
@@ -19,6 +19,7 @@
 
 from carawaylane.decisions.dispatcher import Dispatcher
 from carawaylane.decisions.failure_estimate import Result
+from carawaylane.decisions.retry_window import RetryWindow
 from carawaylane.messages.dispatch import (
     AttemptKind,
     Grant,
@@ -213,6 +214,8 @@
         # Orders events of the same time.
         self._sequence = count()
         self._requests: dict[Ticket, _Request] = {}
+        # By entry, as each reports its attempts to the home.
+        self._retry_windows: dict[str, RetryWindow] = {}
         # Ticket numbers, above those of first attempts.
         self._hedge_numbers = count(10**9)
         # Time and target of each attempt.
@@ -220,6 +223,7 @@
         # Arrival of each request, and whether it got no answer.
         self._outcomes: list[tuple[float, bool]] = []
         self.dispatcher = dispatcher_class(service='s', bounds=Bounds())
+        self.dispatcher.retry_budget.members = load.entries
         names = [f't{number}' for number in range(load.targets)]
         self._targets = {
             name: _SimulatedTarget(load=load, rng=Random(self._rng.random()))
@@ -306,6 +310,21 @@
             arrived_s=now_s,
             deadline_s=now_s + load.timeout_s,
         )
+        self._retry_window(slot_request.entry).record_first_attempt(now_s)
+        self._request_slot(slot_request, now_s)
+
+    def _retry_window(self, entry: str) -> RetryWindow:
+        window = self._retry_windows.get(entry)
+        if window is None:
+            window = RetryWindow(window_s=Bounds().retry_window_s)
+            self._retry_windows[entry] = window
+        return window
+
+    def _request_slot(self, slot_request: SlotRequest, now_s: float) -> None:
+        window = self._retry_window(slot_request.entry)
+        slot_request = evolve(
+            slot_request, recent_attempts=window.counts(now_s)
+        )
         self._handle_reply(
             self.dispatcher.request_slot(slot_request, now_s), now_s
         )
@@ -345,6 +364,8 @@
         )
         attempt = _Attempt(request=request, ticket=grant.ticket, sent_s=now_s)
         request.attempts.append(attempt)
+        if grant.ticket != request.slot_request.ticket:
+            self._retry_window(request.slot_request.entry).record_retry(now_s)
         request.tried_targets |= {grant.target}
         work_s = self._rng.lognormvariate(
             log(load.median_work_s), load.work_log_sd
@@ -386,9 +407,7 @@
             avoided_targets=request.tried_targets,
         )
         self._requests[slot_request.ticket] = request
-        self._handle_reply(
-            self.dispatcher.request_slot(slot_request, now_s), now_s
-        )
+        self._request_slot(slot_request, now_s)
 
     def _confirm_in_flight(
         self, now_s: float, attempt: _Attempt, interval_s: float
--- a/carawaylane/decisions/dispatcher.py
+++ b/carawaylane/decisions/dispatcher.py
@@ -21,7 +21,10 @@
     Result,
 )
 from carawaylane.decisions.quarantine import Quarantine
-from carawaylane.decisions.retry_window import RetryUsage, RetryWindow
+from carawaylane.decisions.shared_retry_budget import (
+    RetryUsage,
+    SharedRetryBudget,
+)
 from carawaylane.decisions.target_state import InFlightRequest, TargetState
 from carawaylane.decisions.usage_floor import UNTRIED_S, UsageFloor
 from carawaylane.messages.dispatch import (
@@ -93,8 +96,6 @@
 # that hedges are not too early, and at least 0.08, so that they are not too
 # late for the answer to be in time.
 MAX_UNANSWERED_SHARE, MIN_UNANSWERED_SHARE = 0.4, 0.08
-# Attempts that count as retries: another target has received the request.
-RETRY_KINDS = (AttemptKind.REPEAT, AttemptKind.HEDGE)
 # Delays after which a refused caller is told to retry.
 MIN_RETRY_AFTER_S = 0.05
 NO_TARGET_RETRY_S = 0.5
@@ -138,7 +139,7 @@
         self._mean_exchange_s = INITIAL_EXCHANGE_S
         # Slots that can serve the queue, cached for one point in time.
         self._usable_slots, self._usable_slots_at_s = 1, float('-inf')
-        self._retry_window = RetryWindow(
+        self.retry_budget = SharedRetryBudget(
             window_s=bounds.retry_window_s,
             ratio=bounds.retry_ratio,
             slack=bounds.retry_slack,
@@ -189,11 +190,12 @@
 
     def request_slot(self, request: SlotRequest, now_s: float) -> SlotReply:
         """Grant, queue or refuse a request."""
+        self.retry_budget.record_report(
+            request.entry, request.recent_attempts, now_s
+        )
         refusal = self._immediate_refusal(request, now_s)
         if refusal is not None:
             return refusal
-        if request.attempt is AttemptKind.FIRST:
-            self._retry_window.record_first_attempt(now_s)
         ahead = self._count_ahead(request.priority)
         # Queued requests may be waiting only for a target with less risk.
         if not ahead or request.idempotent:
@@ -291,8 +293,8 @@
         )
 
     def retry_usage(self, now_s: float) -> RetryUsage:
-        """Return how much of the retry budget this home has granted."""
-        return self._retry_window.usage(now_s)
+        """Return how much of the retry budget the entries have used."""
+        return self.retry_budget.usage(now_s)
 
     # Results
 
@@ -395,9 +397,8 @@
             return self._refuse(
                 request, NO_TARGET_RETRY_S, 'no target is known'
             )
-        if (
-            request.attempt in RETRY_KINDS
-            and not self._retry_window.allows_retry(now_s)
+        if request.attempt.is_retry and not self.retry_budget.allows_retry(
+            now_s
         ):
             return self._refuse(request, 1.0, 'the retry budget is spent')
         return None
@@ -418,11 +419,11 @@
             min_accepted_risk, self._accepted_risk(request, waited_s)
         ):
             return None
-        if request.attempt in RETRY_KINDS:
+        if request.attempt.is_retry:
             # Other retries may have spent the budget while this one waited.
-            if not self._retry_window.allows_retry(now_s):
+            if not self.retry_budget.allows_retry(now_s):
                 return None
-            self._retry_window.record_retry(now_s)
+            self.retry_budget.record_retry(request.entry, now_s)
         target.estimate.last_sent_s = now_s
         self._floor.record_sent(now_s)
         hedge_after_s = self._hedge_delay_s(request, risk)
--- a/carawaylane/gateway/dispatch.py
+++ b/carawaylane/gateway/dispatch.py
@@ -10,9 +10,10 @@
 from asyncio import Queue, timeout
 from typing import TYPE_CHECKING, Protocol
 
-from attrs import Factory, define, frozen
+from attrs import Factory, define, evolve, frozen
 
 from carawaylane.decisions.failure_estimate import Result
+from carawaylane.decisions.retry_window import RetryWindow
 from carawaylane.gateway.dispatchers import (
     ReportResult,
     ReportStillWaiting,
@@ -21,6 +22,7 @@
 from carawaylane.gateway.links import HomeStream
 from carawaylane.kernel.service import Service, service
 from carawaylane.messages.dispatch import (
+    AttemptKind,
     Grant,
     Queued,
     Refusal,
@@ -206,6 +208,8 @@
         self._remote_homes: dict[str, _RemoteHome] = {}
         self._avoided_homes: dict[str, _Avoidance] = {}
         self._last_ticket_number = 0
+        # By service: the attempts of this entry.
+        self._recent_attempts: dict[str, RetryWindow] = {}
 
     async def start(self) -> None:
         """Look up the other services."""
@@ -224,12 +228,20 @@
     ) -> GrantedSlot | Refusal:
         """Return a slot on a target of a service, or a refusal."""
         deadline_s = self.kernel.now_s() + request.left_s
+        window = self._attempt_window(service_name)
+        if request.attempt is AttemptKind.FIRST:
+            window.record_first_attempt(self.kernel.now_s())
         for member in self._candidate_homes(service_name):
             home = self._get_home(member)
+            request = evolve(
+                request, recent_attempts=window.counts(self.kernel.now_s())
+            )
             reply = await self._request_slot_from(
                 home, service_name, request, deadline_s
             )
             if isinstance(reply, Grant):
+                if request.attempt.is_retry:
+                    window.record_retry(self.kernel.now_s())
                 return GrantedSlot(
                     grant=reply, home=home, service=service_name
                 )
@@ -240,6 +252,15 @@
             ticket=request.ticket, retry_after_s=0.1, reason='no home in time'
         )
 
+    def _attempt_window(self, service_name: str) -> RetryWindow:
+        window = self._recent_attempts.get(service_name)
+        if window is None:
+            window = RetryWindow(
+                window_s=self.kernel.cfg.bounds.retry_window_s
+            )
+            self._recent_attempts[service_name] = window
+        return window
+
     def handle_reply(
         self, home: Home, service_name: str, reply: SlotReply
     ) -> None:
--- a/carawaylane/gateway/dispatchers.py
+++ b/carawaylane/gateway/dispatchers.py
@@ -132,6 +132,7 @@
     @handles(RequestSlot)
     def _request_slot(self, msg: RequestSlot) -> None:
         dispatcher = self.dispatcher(msg.service)
+        dispatcher.retry_budget.members = len(self._directory.members)
         reply = dispatcher.request_slot(msg.request, self.kernel.now_s())
         self._log_reply(msg.service, msg.request, reply)
         if not isinstance(reply, Grant | Refusal):
--- a/carawaylane/messages/dispatch.py
+++ b/carawaylane/messages/dispatch.py
@@ -26,6 +26,19 @@
     # Another target still works on the request, and its answer is overdue.
     HEDGE = 3
 
+    @property
+    def is_retry(self) -> bool:
+        """Whether another target has received the request."""
+        return self in (AttemptKind.REPEAT, AttemptKind.HEDGE)
+
+
+@frozen(kw_only=True)
+class AttemptCounts:
+    """First attempts and retries in the window of the retry budget."""
+
+    first_attempts: int = 0
+    retries: int = 0
+
 
 @frozen(kw_only=True)
 class SlotRequest:
@@ -33,6 +46,8 @@
 
     `left_s` is the time until its caller gives up, `objective_s` the latency
     objective of its route. `digest` identifies equal requests, 0 if unknown.
+    `recent_attempts` are those of the entry at the service, whichever homes
+    granted them.
     """
 
     ticket: Ticket
@@ -47,6 +62,7 @@
     avoided_targets: frozenset[str] = frozenset()
     digest: int = 0
     request_id: str = ''
+    recent_attempts: AttemptCounts = AttemptCounts()
 
     @property
     def entry(self) -> str:
--- a/carawaylane/rpc/fleet_codec.py
+++ b/carawaylane/rpc/fleet_codec.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from carawaylane.messages.dispatch import (
+    AttemptCounts,
     AttemptKind,
     Grant,
     Queued,
@@ -35,6 +36,8 @@
         avoid=sorted(request.avoided_targets),
         digest=request.digest,
         request_id=request.request_id,
+        recent_firsts=request.recent_attempts.first_attempts,
+        recent_repeats=request.recent_attempts.retries,
     )
 
 
@@ -54,6 +57,9 @@
         avoided_targets=frozenset(msg.avoid),
         digest=msg.digest,
         request_id=msg.request_id,
+        recent_attempts=AttemptCounts(
+            first_attempts=msg.recent_firsts, retries=msg.recent_repeats
+        ),
     )
 
 
--- a/tests/decisions/test_dispatcher.py
+++ b/tests/decisions/test_dispatcher.py
@@ -10,6 +10,7 @@
 from carawaylane.decisions.target_state import CONFIRM_SLACK_S
 from carawaylane.decisions.usage_floor import MIN_LOSSES
 from carawaylane.messages.dispatch import (
+    AttemptCounts,
     AttemptKind,
     Grant,
     Queued,
@@ -234,11 +235,17 @@
     bounds = Bounds(retry_ratio=0.2, retry_slack=10, retry_window_s=10)
     dispatcher = Dispatcher(service='s', bounds=bounds)
     dispatcher.update_targets([target_spec('t1', slots=100)], 0.0)
+    counts = AttemptCounts(first_attempts=20)
     for _ in range(20):
-        dispatcher.request_slot(make_request(), 0.0)
+        dispatcher.request_slot(make_request(recent_attempts=counts), 0.0)
     replies = [
         dispatcher.request_slot(
-            make_request(attempt=AttemptKind.REPEAT, idempotent=True), 0.02
+            make_request(
+                attempt=AttemptKind.REPEAT,
+                idempotent=True,
+                recent_attempts=counts,
+            ),
+            0.02,
         )
         for _ in range(30)
     ]
--- /dev/null
+++ b/tests/decisions/test_shared_retry_budget.py
@@ -0,0 +1,173 @@
+"""The retry budget of a service under several homes."""
+
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from carawaylane.decisions.retry_window import RetryWindow
+from carawaylane.decisions.shared_retry_budget import (
+    REPORT_LAG_S,
+    SharedRetryBudget,
+)
+from carawaylane.messages.dispatch import AttemptCounts
+
+WINDOW_S, RATIO, SLACK = 10.0, 0.2, 200
+ENTRIES = [f'e{number}' for number in range(40)]
+
+
+def make_budget(members=1):
+    return SharedRetryBudget(
+        window_s=WINDOW_S, ratio=RATIO, slack=SLACK, members=members
+    )
+
+
+def test_a_home_adds_up_the_reports_of_the_entries():
+    budget = make_budget(members=2)
+    budget.record_report(
+        'a', AttemptCounts(first_attempts=100, retries=5), 0.0
+    )
+    budget.record_report(
+        'b', AttemptCounts(first_attempts=50, retries=10), 0.0
+    )
+    budget.record_report(
+        'a', AttemptCounts(first_attempts=120, retries=7), 1.0
+    )
+    usage = budget.usage(1.0)
+    assert (usage.first_attempts, usage.retries) == (170, 17)
+    assert usage.limit <= RATIO * 170 + SLACK
+
+
+def test_a_report_expires_after_the_window():
+    budget = make_budget()
+    budget.record_report(
+        'a', AttemptCounts(first_attempts=100, retries=5), 0.0
+    )
+    assert budget.usage(WINDOW_S - 0.1).retries == 5
+    usage = budget.usage(WINDOW_S)
+    assert (usage.first_attempts, usage.retries) == (0, 0)
+
+
+def test_a_grant_counts_until_a_report_can_contain_it():
+    budget = make_budget()
+    counts = AttemptCounts(first_attempts=10)
+    budget.record_report('a', counts, 0.0)
+    budget.record_retry('a', 0.0)
+    # The report may have been sent before the grant arrived.
+    budget.record_report('a', counts, REPORT_LAG_S / 2)
+    assert budget.usage(REPORT_LAG_S / 2).retries == 1
+    budget.record_report(
+        'a', AttemptCounts(first_attempts=10, retries=1), 2 * REPORT_LAG_S
+    )
+    assert budget.usage(2 * REPORT_LAG_S).retries == 1
+
+
+def test_a_home_that_few_entries_ask_has_a_small_part_of_the_constant():
+    budget = make_budget(members=len(ENTRIES))
+    budget.record_report('e0', AttemptCounts(), 0.0)
+    assert budget.usage(0.0).limit <= SLACK / len(ENTRIES)
+
+
+def retry_times(*, choose_home, homes, rate_per_s, seconds, rng):
+    """Return when retries are granted if all requests ask for one.
+
+    `choose_home` returns the home that an entry asks at a time.
+    """
+    budgets = [make_budget(members=len(ENTRIES)) for _ in range(homes)]
+    windows = {entry: RetryWindow(window_s=WINDOW_S) for entry in ENTRIES}
+    times_s = []
+    for number in range(int(rate_per_s * seconds)):
+        now_s = number / rate_per_s
+        entry = rng.choice(ENTRIES)
+        window, budget = windows[entry], budgets[choose_home(entry, now_s)]
+        window.record_first_attempt(now_s)
+        budget.record_report(entry, window.counts(now_s), now_s)
+        if budget.allows_retry(now_s):
+            budget.record_retry(entry, now_s)
+            window.record_retry(now_s)
+            times_s.append(now_s)
+    return times_s
+
+
+def most_in_a_window(times_s):
+    return max(
+        sum(start_s <= at_s < start_s + WINDOW_S for at_s in times_s)
+        for start_s in times_s
+    )
+
+
+RATE_PER_S, SECONDS = 50.0, 25.0
+
+
+def one_home(_entry, _now_s):
+    return 0
+
+
+def a_successor(_entry, now_s):
+    return int(now_s >= 3.0)
+
+
+def successors_in_turn(_entry, now_s):
+    return int(now_s / 2.0) % 4
+
+
+def each_its_own(entry, _now_s):
+    return ENTRIES.index(entry)
+
+
+def apart_then_together(entry, now_s):
+    return ENTRIES.index(entry) if now_s < 12.0 else 0
+
+
+@pytest.mark.parametrize(
+    'choose_home',
+    [
+        one_home,
+        a_successor,
+        successors_in_turn,
+        each_its_own,
+        apart_then_together,
+    ],
+)
+def test_retries_of_all_homes_stay_within_the_budget(choose_home):
+    times_s = retry_times(
+        choose_home=choose_home,
+        homes=len(ENTRIES),
+        rate_per_s=RATE_PER_S,
+        seconds=SECONDS,
+        rng=Random(1),
+    )
+    requests = RATE_PER_S * WINDOW_S
+    assert 0 < most_in_a_window(times_s) <= RATIO * requests + SLACK
+
+
+@settings(max_examples=30, deadline=None)
+@given(
+    seed=st.integers(0, 2**32),
+    homes=st.integers(1, 8),
+    stay_s=st.sampled_from([0.3, 1.0, 4.0]),
+)
+def test_retries_stay_within_the_budget_while_entries_change_homes(
+    seed, homes, stay_s
+):
+    """An entry that gets no reply avoids a home for a while."""
+    rng = Random(seed)
+    current = {}
+
+    def choose_home(entry, now_s):
+        home, until_s = current.get(entry, (0, 0.0))
+        if now_s >= until_s:
+            home, until_s = rng.randrange(homes), now_s + stay_s
+            current[entry] = (home, until_s)
+        return home
+
+    times_s = retry_times(
+        choose_home=choose_home,
+        homes=homes,
+        rate_per_s=RATE_PER_S,
+        seconds=SECONDS,
+        rng=rng,
+    )
+    requests = RATE_PER_S * WINDOW_S
+    assert most_in_a_window(times_s) <= RATIO * requests + SLACK
