Retry budget: a home spends only what it decided on

Cause: entries that left the silent home at 7 s and came back after a second had reported all their first attempts to both homes. When others moved to the second home at 14 s, it spent the budget of those that had gone back. Evidence: retry-usage lines: at 17 s front-nbo-b-2 has 4,284 first attempts and 899 retries, front-nbo-b-1 has 2,820 and 523, for 4,463 requests in all. Why it works: entries also report the attempts that the asked home itself decided on. These are disjoint, so the limits of homes beside each other add up to that of the fleet. The sum of all homes stays as a second limit, for successors. Attempts of an entry that asks no more leave the sum evenly.

--- a/bench/dispatch_sim.py
+++ b/bench/dispatch_sim.py
@@ -34,6 +34,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+HOME = 'home'
 # Interval at which the home serves its queue, as in gateway/dispatchers.py.
 QUEUE_PERIOD_S = 0.02
 # A refused hedge is requested again after this time, as in
@@ -310,8 +311,10 @@
             arrived_s=now_s,
             deadline_s=now_s + load.timeout_s,
         )
-        self._retry_window(slot_request.entry).record_first_attempt(now_s)
         self._request_slot(slot_request, now_s)
+        self._retry_window(slot_request.entry).record_first_attempt(
+            HOME, now_s
+        )
 
     def _retry_window(self, entry: str) -> RetryWindow:
         window = self._retry_windows.get(entry)
@@ -323,7 +326,7 @@
     def _request_slot(self, slot_request: SlotRequest, now_s: float) -> None:
         window = self._retry_window(slot_request.entry)
         slot_request = evolve(
-            slot_request, recent_attempts=window.counts(now_s)
+            slot_request, recent_attempts=window.report_to(HOME, now_s)
         )
         self._handle_reply(
             self.dispatcher.request_slot(slot_request, now_s), now_s
@@ -365,7 +368,9 @@
         attempt = _Attempt(request=request, ticket=grant.ticket, sent_s=now_s)
         request.attempts.append(attempt)
         if grant.ticket != request.slot_request.ticket:
-            self._retry_window(request.slot_request.entry).record_retry(now_s)
+            self._retry_window(request.slot_request.entry).record_retry(
+                HOME, now_s
+            )
         request.tried_targets |= {grant.target}
         work_s = self._rng.lognormvariate(
             log(load.median_work_s), load.work_log_sd
--- a/carawaylane/decisions/dispatcher.py
+++ b/carawaylane/decisions/dispatcher.py
@@ -299,8 +299,8 @@
         )
 
     def retry_usage(self, now_s: float) -> RetryUsage:
-        """Return how much of the retry budget the entries have used."""
-        return self.retry_budget.usage(now_s)
+        """Return how much of the retry budget this home has granted."""
+        return self.retry_budget.home_usage(now_s)
 
     # Results
 
--- a/carawaylane/decisions/shared_retry_budget.py
+++ b/carawaylane/decisions/shared_retry_budget.py
@@ -1,16 +1,20 @@
 """Retry budget of a service that all entries and homes share.
 
-Each entry counts its own first attempts and retries, whichever home granted
-them, and reports the counts with each slot request. A home adds up the
-reports, so that a home that replaces another one, or grants beside it, knows
-what has been spent.
+Each entry counts its own first attempts and retries by the home that decided
+on them, and reports the counts with each slot request. A home adds up the
+reports. Two limits hold for each retry:
+
+- All attempts of the entries that ask the home, so that a home that replaces
+  another one knows what has been spent.
+- The attempts that this home decided on. They are disjoint from those of other
+  homes, so that homes beside each other do not spend the same budget.
 """
 
 from __future__ import annotations
 
 from attrs import Factory, define, frozen
 
-from carawaylane.messages.dispatch import AttemptCounts
+from carawaylane.messages.dispatch import AttemptCounts, AttemptReport
 
 # Shares of the budget that homes spend. The rest covers retries that are not
 # yet in the reports while several homes grant.
@@ -25,22 +29,51 @@
 class RetryUsage:
     """First attempts and retries in the window, and how many it allows."""
 
-    first_attempts: int
+    first_attempts: float
     retries: int
     limit: float
 
+    @property
+    def allows_retry(self) -> bool:
+        """Whether one more retry is within the limit."""
+        return self.retries + 1 <= self.limit
+
 
 @define(kw_only=True)
 class _EntryReport:
-    """Latest counts of an entry, and what it was granted since."""
+    """Latest report of an entry, and when it was granted retries since."""
 
     at_s: float
-    counts: AttemptCounts
+    report: AttemptReport = AttemptReport()
     granted_at_s: list[float] = Factory(list)
 
-    @property
-    def retries(self) -> int:
-        return self.counts.retries + len(self.granted_at_s)
+
+@define(kw_only=True)
+class _Sum:
+    """Sum of the counts of entries.
+
+    The first attempts of an entry that does not report again leave the window
+    one by one. They are taken to be spread evenly over it.
+    """
+
+    window_s: float
+    retries: int = 0
+    _first_attempts: int = 0
+    # Sum of first attempts, each multiplied by the time of its report.
+    _first_attempts_by_time: float = 0.0
+
+    def add(
+        self, counts: AttemptCounts, granted: int, at_s: float, sign: int
+    ) -> None:
+        """Add the counts of an entry, or remove them with a `sign` of -1."""
+        self.retries += sign * (counts.retries + granted)
+        self._first_attempts += sign * counts.first_attempts
+        self._first_attempts_by_time += sign * counts.first_attempts * at_s
+
+    def first_attempts(self, now_s: float) -> float:
+        """Return the first attempts that are still in the window."""
+        age_sum = now_s * self._first_attempts - self._first_attempts_by_time
+        return max(0.0, self._first_attempts - age_sum / self.window_s)
 
 
 @define(kw_only=True)
@@ -58,11 +91,15 @@
     members: int = 1
     # By entry, the oldest report first.
     _reports: dict[str, _EntryReport] = Factory(dict)
-    _first_attempts: int = 0
-    _retries: int = 0
+    _total: _Sum = Factory(
+        lambda self: _Sum(window_s=self.window_s), takes_self=True
+    )
+    _at_home: _Sum = Factory(
+        lambda self: _Sum(window_s=self.window_s), takes_self=True
+    )
 
     def record_report(
-        self, entry: str, counts: AttemptCounts, now_s: float
+        self, entry: str, report: AttemptReport, now_s: float
     ) -> None:
         """Replace the counts of an entry."""
         previous = self._remove(entry)
@@ -73,46 +110,68 @@
         ]
         self._add(
             entry,
-            _EntryReport(at_s=now_s, counts=counts, granted_at_s=granted_at_s),
+            _EntryReport(at_s=now_s, report=report, granted_at_s=granted_at_s),
         )
 
     def record_retry(self, entry: str, now_s: float) -> None:
         """Count a retry that is granted to an entry."""
-        report = self._remove(entry) or _EntryReport(
-            at_s=now_s, counts=AttemptCounts()
-        )
-        report.at_s = now_s
-        report.granted_at_s.append(now_s)
-        self._add(entry, report)
+        entry_report = self._remove(entry) or _EntryReport(at_s=now_s)
+        entry_report.granted_at_s.append(now_s)
+        self._add(entry, entry_report)
 
     def allows_retry(self, now_s: float) -> bool:
-        """Return whether one more retry is within the budget."""
-        usage = self.usage(now_s)
-        return usage.retries + 1 <= usage.limit
+        """Return whether one more retry is within both limits."""
+        return (
+            self.total_usage(now_s).allows_retry
+            and self.home_usage(now_s).allows_retry
+        )
 
-    def usage(self, now_s: float) -> RetryUsage:
-        """Return how much of the budget the entries have used."""
+    def total_usage(self, now_s: float) -> RetryUsage:
+        """Return the attempts of the entries that ask this home."""
+        share = self._share_of_entries(now_s)
+        return self._usage(self._total, share, now_s)
+
+    def home_usage(self, now_s: float) -> RetryUsage:
+        """Return the attempts that this home decided on."""
+        share = self._share_of_entries(now_s)
+        total = self._total.first_attempts(now_s)
+        if total > 0:
+            share *= self._at_home.first_attempts(now_s) / total
+        return self._usage(self._at_home, share, now_s)
+
+    def _usage(
+        self, attempts: _Sum, slack_share: float, now_s: float
+    ) -> RetryUsage:
+        first_attempts = attempts.first_attempts(now_s)
+        return RetryUsage(
+            first_attempts=first_attempts,
+            retries=attempts.retries,
+            limit=self.ratio * RATIO_SHARE * first_attempts
+            + self.slack * SLACK_SHARE * slack_share,
+        )
+
+    def _share_of_entries(self, now_s: float) -> float:
+        """Return the share of the members that asked within the window."""
         while self._reports:
             entry, oldest = next(iter(self._reports.items()))
             if oldest.at_s > now_s - self.window_s:
                 break
             self._remove(entry)
-        share = min(1.0, len(self._reports) / max(1, self.members))
-        return RetryUsage(
-            first_attempts=self._first_attempts,
-            retries=self._retries,
-            limit=self.ratio * RATIO_SHARE * self._first_attempts
-            + self.slack * SLACK_SHARE * share,
-        )
+        return min(1.0, len(self._reports) / max(1, self.members))
 
-    def _add(self, entry: str, report: _EntryReport) -> None:
-        self._reports[entry] = report
-        self._first_attempts += report.counts.first_attempts
-        self._retries += report.retries
+    def _add(self, entry: str, entry_report: _EntryReport) -> None:
+        self._reports[entry] = entry_report
+        self._add_to_sums(entry_report, 1)
 
     def _remove(self, entry: str) -> _EntryReport | None:
-        report = self._reports.pop(entry, None)
-        if report is not None:
-            self._first_attempts -= report.counts.first_attempts
-            self._retries -= report.retries
-        return report
+        entry_report = self._reports.pop(entry, None)
+        if entry_report is not None:
+            self._add_to_sums(entry_report, -1)
+        return entry_report
+
+    def _add_to_sums(self, entry_report: _EntryReport, sign: int) -> None:
+        granted = len(entry_report.granted_at_s)
+        at_s = entry_report.at_s
+        report = entry_report.report
+        self._total.add(report.total, granted, at_s, sign)
+        self._at_home.add(report.at_home, granted, at_s, sign)
--- a/carawaylane/gateway/dispatch.py
+++ b/carawaylane/gateway/dispatch.py
@@ -229,25 +229,26 @@
         """Return a slot on a target of a service, or a refusal."""
         deadline_s = self.kernel.now_s() + request.left_s
         window = self._attempt_window(service_name)
-        if request.attempt is AttemptKind.FIRST:
-            window.record_first_attempt(self.kernel.now_s())
         for member in self._candidate_homes(service_name):
             home = self._get_home(member)
             request = evolve(
-                request, recent_attempts=window.counts(self.kernel.now_s())
+                request,
+                recent_attempts=window.report_to(member, self.kernel.now_s()),
             )
             reply = await self._request_slot_from(
                 home, service_name, request, deadline_s
             )
-            if isinstance(reply, Grant):
-                if request.attempt.is_retry:
-                    window.record_retry(self.kernel.now_s())
-                return GrantedSlot(
-                    grant=reply, home=home, service=service_name
-                )
+            if not isinstance(reply, Grant | Refusal):
+                self._avoid_home(member, request)
+                continue
+            now_s = self.kernel.now_s()
+            if request.attempt is AttemptKind.FIRST:
+                window.record_first_attempt(member, now_s)
             if isinstance(reply, Refusal):
                 return reply
-            self._avoid_home(member, request)
+            if request.attempt.is_retry:
+                window.record_retry(member, now_s)
+            return GrantedSlot(grant=reply, home=home, service=service_name)
         return Refusal(
             ticket=request.ticket, retry_after_s=0.1, reason='no home in time'
         )
--- a/carawaylane/gateway/dispatchers.py
+++ b/carawaylane/gateway/dispatchers.py
@@ -208,7 +208,7 @@
                     emit(
                         RETRY_USAGE,
                         service=dispatcher.service,
-                        first_attempts=usage.first_attempts,
+                        first_attempts=round(usage.first_attempts),
                         retries=usage.retries,
                         limit=round(usage.limit),
                     )
--- a/carawaylane/messages/dispatch.py
+++ b/carawaylane/messages/dispatch.py
@@ -40,14 +40,25 @@
     retries: int = 0
 
 
+@frozen(kw_only=True)
+class AttemptReport:
+    """Attempts of an entry at a service, for the home that it asks.
+
+    `total` are those for which any home decided, `at_home` those for which
+    the home that is asked decided.
+    """
+
+    total: AttemptCounts = AttemptCounts()
+    at_home: AttemptCounts = AttemptCounts()
+
+
 @frozen(kw_only=True)
 class SlotRequest:
     """A caller's request that needs a slot on a target.
 
     `left_s` is the time until its caller gives up, `objective_s` the latency
     objective of its route. `digest` identifies equal requests, 0 if unknown.
-    `recent_attempts` are those of the entry at the service, whichever homes
-    granted them.
+    `recent_attempts` are those of the entry at the service.
     """
 
     ticket: Ticket
@@ -62,7 +73,7 @@
     avoided_targets: frozenset[str] = frozenset()
     digest: int = 0
     request_id: str = ''
-    recent_attempts: AttemptCounts = AttemptCounts()
+    recent_attempts: AttemptReport = AttemptReport()
 
     @property
     def entry(self) -> str:
--- a/carawaylane/rpc/fleet_codec.py
+++ b/carawaylane/rpc/fleet_codec.py
@@ -7,6 +7,7 @@
 from carawaylane.messages.dispatch import (
     AttemptCounts,
     AttemptKind,
+    AttemptReport,
     Grant,
     Queued,
     Refusal,
@@ -16,7 +17,7 @@
 )
 from carawaylane.messages.stored_objects import ObjectDelta, StoredObject
 from carawaylane.rpc.fleet_pb2 import Ask as AskPb
-from carawaylane.rpc.fleet_pb2 import Done, Known, Object, Reply
+from carawaylane.rpc.fleet_pb2 import Attempts, Done, Known, Object, Reply
 
 if TYPE_CHECKING:
     from carawaylane.decisions.failure_estimate import Result
@@ -36,8 +37,8 @@
         avoid=sorted(request.avoided_targets),
         digest=request.digest,
         request_id=request.request_id,
-        recent_firsts=request.recent_attempts.first_attempts,
-        recent_repeats=request.recent_attempts.retries,
+        recent_attempts=_pack_counts(request.recent_attempts.total),
+        recent_attempts_here=_pack_counts(request.recent_attempts.at_home),
     )
 
 
@@ -57,12 +58,21 @@
         avoided_targets=frozenset(msg.avoid),
         digest=msg.digest,
         request_id=msg.request_id,
-        recent_attempts=AttemptCounts(
-            first_attempts=msg.recent_firsts, retries=msg.recent_repeats
+        recent_attempts=AttemptReport(
+            total=_unpack_counts(msg.recent_attempts),
+            at_home=_unpack_counts(msg.recent_attempts_here),
         ),
     )
 
 
+def _pack_counts(counts: AttemptCounts) -> Attempts:
+    return Attempts(firsts=counts.first_attempts, retries=counts.retries)
+
+
+def _unpack_counts(msg: Attempts) -> AttemptCounts:
+    return AttemptCounts(first_attempts=msg.firsts, retries=msg.retries)
+
+
 def pack_result(
     ticket: Ticket, service: str, result: Result, duration_s: float
 ) -> Done:
--- a/carawaylane/telemetry/events.py
+++ b/carawaylane/telemetry/events.py
@@ -198,7 +198,7 @@
     607,
     'retry-usage',
     _INFO,
-    'How many retries the entries that ask a home sent in the window.',
+    'How many retries a home has granted in the window of the budget.',
 )
 
 
--- a/tests/decisions/test_dispatcher.py
+++ b/tests/decisions/test_dispatcher.py
@@ -17,6 +17,7 @@
 from carawaylane.messages.dispatch import (
     AttemptCounts,
     AttemptKind,
+    AttemptReport,
     Grant,
     Queued,
     Refusal,
@@ -241,14 +242,15 @@
     dispatcher = Dispatcher(service='s', bounds=bounds)
     dispatcher.update_targets([target_spec('t1', slots=100)], 0.0)
     counts = AttemptCounts(first_attempts=20)
+    report = AttemptReport(total=counts, at_home=counts)
     for _ in range(20):
-        dispatcher.request_slot(make_request(recent_attempts=counts), 0.0)
+        dispatcher.request_slot(make_request(recent_attempts=report), 0.0)
     replies = [
         dispatcher.request_slot(
             make_request(
                 attempt=AttemptKind.REPEAT,
                 idempotent=True,
-                recent_attempts=counts,
+                recent_attempts=report,
             ),
             0.02,
         )
--- a/tests/decisions/test_shared_retry_budget.py
+++ b/tests/decisions/test_shared_retry_budget.py
@@ -11,7 +11,7 @@
     REPORT_LAG_S,
     SharedRetryBudget,
 )
-from carawaylane.messages.dispatch import AttemptCounts
+from carawaylane.messages.dispatch import AttemptCounts, AttemptReport
 
 WINDOW_S, RATIO, SLACK = 10.0, 0.2, 200
 ENTRIES = [f'e{number}' for number in range(40)]
@@ -23,69 +23,92 @@
     )
 
 
-def test_a_home_adds_up_the_reports_of_the_entries():
+def report(first_attempts, retries=0):
+    """Return a report of an entry that has asked one home only."""
+    counts = AttemptCounts(first_attempts=first_attempts, retries=retries)
+    return AttemptReport(total=counts, at_home=counts)
+
+
+def test_a_home_adds_up_the_latest_report_of_each_entry():
     budget = make_budget(members=2)
-    budget.record_report(
-        'a', AttemptCounts(first_attempts=100, retries=5), 0.0
-    )
-    budget.record_report(
-        'b', AttemptCounts(first_attempts=50, retries=10), 0.0
-    )
-    budget.record_report(
-        'a', AttemptCounts(first_attempts=120, retries=7), 1.0
-    )
-    usage = budget.usage(1.0)
-    assert (usage.first_attempts, usage.retries) == (170, 17)
-    assert usage.limit <= RATIO * 170 + SLACK
+    budget.record_report('a', report(100, 5), 0.0)
+    budget.record_report('b', report(50, 10), 1.0)
+    budget.record_report('a', report(120, 7), 1.0)
+    for usage in (budget.total_usage(1.0), budget.home_usage(1.0)):
+        assert (usage.first_attempts, usage.retries) == (170, 17)
+        assert usage.limit <= RATIO * 170 + SLACK
 
 
 def test_a_report_expires_after_the_window():
     budget = make_budget()
-    budget.record_report(
-        'a', AttemptCounts(first_attempts=100, retries=5), 0.0
-    )
-    assert budget.usage(WINDOW_S - 0.1).retries == 5
-    usage = budget.usage(WINDOW_S)
+    budget.record_report('a', report(100, 5), 0.0)
+    assert budget.total_usage(WINDOW_S - 0.1).retries == 5
+    usage = budget.total_usage(WINDOW_S)
     assert (usage.first_attempts, usage.retries) == (0, 0)
 
 
+def test_first_attempts_of_an_entry_that_left_expire_one_by_one():
+    budget = make_budget()
+    budget.record_report('a', report(100), 0.0)
+    usage = budget.total_usage(WINDOW_S / 4)
+    assert usage.first_attempts == pytest.approx(75)
+
+
 def test_a_grant_counts_until_a_report_can_contain_it():
     budget = make_budget()
-    counts = AttemptCounts(first_attempts=10)
-    budget.record_report('a', counts, 0.0)
+    budget.record_report('a', report(10), 0.0)
     budget.record_retry('a', 0.0)
     # The report may have been sent before the grant arrived.
-    budget.record_report('a', counts, REPORT_LAG_S / 2)
-    assert budget.usage(REPORT_LAG_S / 2).retries == 1
-    budget.record_report(
-        'a', AttemptCounts(first_attempts=10, retries=1), 2 * REPORT_LAG_S
-    )
-    assert budget.usage(2 * REPORT_LAG_S).retries == 1
+    budget.record_report('a', report(10), REPORT_LAG_S / 2)
+    assert budget.total_usage(REPORT_LAG_S / 2).retries == 1
+    budget.record_report('a', report(10, 1), 2 * REPORT_LAG_S)
+    assert budget.total_usage(2 * REPORT_LAG_S).retries == 1
 
 
 def test_a_home_that_few_entries_ask_has_a_small_part_of_the_constant():
     budget = make_budget(members=len(ENTRIES))
-    budget.record_report('e0', AttemptCounts(), 0.0)
-    assert budget.usage(0.0).limit <= SLACK / len(ENTRIES)
+    budget.record_report('e0', report(0), 0.0)
+    assert budget.total_usage(0.0).limit <= SLACK / len(ENTRIES)
+    assert budget.home_usage(0.0).limit <= SLACK / len(ENTRIES)
+
+
+def test_a_home_does_not_spend_what_another_home_decided_on():
+    budget = make_budget()
+    budget.record_report(
+        'e0',
+        AttemptReport(
+            total=AttemptCounts(first_attempts=1000),
+            at_home=AttemptCounts(),
+        ),
+        0.0,
+    )
+    assert not budget.allows_retry(0.0)
 
 
-def retry_times(*, choose_home, homes, rate_per_s, seconds, rng):
-    """Return when retries are granted if all requests ask for one.
+def retry_times(
+    *, choose_home, homes, rng, demand_from_s=0.0, retry_share=1.0
+):
+    """Return when retries are granted.
 
-    `choose_home` returns the home that an entry asks at a time.
+    `choose_home` returns the home that an entry asks at a time. From
+    `demand_from_s` on, `retry_share` of the requests ask for a retry.
     """
     budgets = [make_budget(members=len(ENTRIES)) for _ in range(homes)]
     windows = {entry: RetryWindow(window_s=WINDOW_S) for entry in ENTRIES}
     times_s = []
-    for number in range(int(rate_per_s * seconds)):
-        now_s = number / rate_per_s
+    for number in range(int(RATE_PER_S * SECONDS)):
+        now_s = number / RATE_PER_S
         entry = rng.choice(ENTRIES)
-        window, budget = windows[entry], budgets[choose_home(entry, now_s)]
-        window.record_first_attempt(now_s)
-        budget.record_report(entry, window.counts(now_s), now_s)
+        home = choose_home(entry, now_s)
+        window, budget = windows[entry], budgets[home]
+        budget.record_report(entry, window.report_to(str(home), now_s), now_s)
+        window.record_first_attempt(str(home), now_s)
+        if now_s < demand_from_s or rng.random() >= retry_share:
+            continue
+        budget.record_report(entry, window.report_to(str(home), now_s), now_s)
         if budget.allows_retry(now_s):
             budget.record_retry(entry, now_s)
-            window.record_retry(now_s)
+            window.record_retry(str(home), now_s)
             times_s.append(now_s)
     return times_s
 
@@ -120,6 +143,14 @@
     return ENTRIES.index(entry) if now_s < 12.0 else 0
 
 
+def a_visit_before_the_demand(entry, now_s):
+    """All ask another home for a while, and half of them do so again."""
+    if 7.0 <= now_s < 8.0:
+        return 1
+    return int(now_s >= 13.0 and ENTRIES.index(entry) % 2)
+
+
+@pytest.mark.parametrize('demand_from_s', [0.0, 10.0, 13.0])
 @pytest.mark.parametrize(
     'choose_home',
     [
@@ -128,14 +159,16 @@
         successors_in_turn,
         each_its_own,
         apart_then_together,
+        a_visit_before_the_demand,
     ],
 )
-def test_retries_of_all_homes_stay_within_the_budget(choose_home):
+def test_retries_of_all_homes_stay_within_the_budget(
+    choose_home, demand_from_s
+):
     times_s = retry_times(
         choose_home=choose_home,
         homes=len(ENTRIES),
-        rate_per_s=RATE_PER_S,
-        seconds=SECONDS,
+        demand_from_s=demand_from_s,
         rng=Random(1),
     )
     requests = RATE_PER_S * WINDOW_S
@@ -147,9 +180,11 @@
     seed=st.integers(0, 2**32),
     homes=st.integers(1, 8),
     stay_s=st.sampled_from([0.3, 1.0, 4.0]),
+    demand_from_s=st.sampled_from([0.0, 5.0, 11.0]),
+    retry_share=st.sampled_from([0.3, 0.6, 1.0]),
 )
 def test_retries_stay_within_the_budget_while_entries_change_homes(
-    seed, homes, stay_s
+    seed, homes, stay_s, demand_from_s, retry_share
 ):
     """An entry that gets no reply avoids a home for a while."""
     rng = Random(seed)
@@ -165,8 +200,8 @@
     times_s = retry_times(
         choose_home=choose_home,
         homes=homes,
-        rate_per_s=RATE_PER_S,
-        seconds=SECONDS,
+        demand_from_s=demand_from_s,
+        retry_share=retry_share,
         rng=rng,
     )
     requests = RATE_PER_S * WINDOW_S
