Gateway: pass on the Content-Encoding of a request

What callers saw: a compressed body reached its target without the header that says so. Cause: exchanges drop the headers of a connection by a list that contains Content-Encoding, which belongs to the body.

--- a/carawaylane/gateway/exchanges.py
+++ b/carawaylane/gateway/exchanges.py
@@ -258,7 +258,8 @@
     lines += [
         f'{name}: {value}'
         for name, value in request.headers
-        if name.lower() == 'host' or name.lower() not in HOP_BY_HOP_HEADERS
+        if name.lower() in ('host', 'content-encoding')
+        or name.lower() not in HOP_BY_HOP_HEADERS
     ]
     lines += [
         f'{name}: {value}'
