carawayd: an unsafe PUT or DELETE is sent to a target once

What callers saw: an unsafe PUT or DELETE could run twice if its target read it and closed the connection without an answer. Cause: aiohttp's client session sends these methods again by itself; the connection need not have been kept. Change: the session for unsafe requests has that switched off.

--- a/carawaylane/services/targets.py
+++ b/carawaylane/services/targets.py
@@ -256,6 +256,9 @@
         if unsafe:
             if self._unpooled is None:
                 self._unpooled = _new_session(force_close=True)
+                # aiohttp has no public option against its own resending of
+                # PUT and DELETE.
+                self._unpooled._retry_connection = False
             return self._unpooled
         if self._pooled is None:
             self._pooled = _new_session(force_close=False)
