Ledger: an attempt that arrives late finds the record of its key

What callers saw: "not run" for a key that had run, if a forward stayed in transit until the owner had forgotten the key; a caller that then sends the order anew doubles it. Cause: the owner forgot keys a resend window after they ran, counted to the arrival of an attempt, not to its acceptance by the entry. A late attempt was admitted as a new key. Change: records are kept 120 s, the longest run, beyond the window, and count as of the acceptance of an attempt; an attempt that is older than that and has no record is in doubt. Records of keys take up to 120 s longer: a fifth more at the window of 600 s. Not shown: the same after a takeover, as the journals of entries keep the window only.

--- a/carawaylane/decisions/ledger.py
+++ b/carawaylane/decisions/ledger.py
@@ -29,6 +29,9 @@
 # No request runs beyond the longest timeout: an older record in state RUNNING
 # never gets an outcome.
 MAX_RUN_MS = 120_000
+# An attempt without a record that was accepted longer ago may be of a key that
+# has run and been forgotten since.
+MAX_ATTEMPT_AGE_MS = MAX_RUN_MS
 # Estimated size of a record without its answer.
 RECORD_OVERHEAD_BYTES = 400
 
@@ -119,8 +122,10 @@
         """Decide whether an attempt runs; if so, record it as running."""
         self.expire_records(now_ms)
         record = self.records.get(key)
-        if record is not None:
+        if record is not None and self._is_in_window(record, accepted_ms):
             return self._decide_recorded(record, accepted_ms, now_ms)
+        if now_ms - accepted_ms > MAX_ATTEMPT_AGE_MS:
+            return InDoubt(reason='the attempt is older than the records')
         if self._is_full():
             return Refuse(reason='the record of keys is full')
         self._store(Record(key=key, state=KeyState.RUNNING, at_ms=now_ms))
@@ -133,7 +138,11 @@
         """
         self.expire_records(now_ms)
         record = self.records.get(key)
-        return record is not None and record.state is not KeyState.REFUSED
+        return (
+            record is not None
+            and self._is_in_window(record, now_ms)
+            and record.state is not KeyState.REFUSED
+        )
 
     def record_answer(
         self, key: str, answer: Answered | None, now_ms: int
@@ -174,8 +183,12 @@
         self._drop_answers()
 
     def expire_records(self, now_ms: int) -> None:
-        """Forget keys older than the resend window, but none that runs."""
-        horizon_ms = now_ms - self.window_ms
+        """Forget old keys, but none that runs.
+
+        They are kept beyond the resend window, for attempts that were accepted
+        within it and arrive late.
+        """
+        horizon_ms = now_ms - self.window_ms - MAX_ATTEMPT_AGE_MS
         while self.records:
             key, record = next(iter(self.records.items()))
             if record.at_ms > horizon_ms:
@@ -185,6 +198,13 @@
                 return
             self._remove(key)
 
+    def _is_in_window(self, record: Record, at_ms: int) -> bool:
+        """Return whether a record was in the resend window at a time."""
+        max_age_ms = self.window_ms
+        if record.state is KeyState.RUNNING:
+            max_age_ms += MAX_RUN_MS
+        return record.at_ms > at_ms - max_age_ms
+
     def _decide_recorded(
         self, record: Record, accepted_ms: int, now_ms: int
     ) -> Verdict:
