Gateway: follow a store that is restored from an older copy

After a restore, copies kept targets that no longer exist and passed over new ones whose revisions they had seen; a watch from a revision that was given out again missed changes; nodes that the store had lost stayed unlisted. Cause: all copies are ordered by the store's revision alone, which goes back. Events, gauge and counter. Stand-in with restore.

--- a/carawaylane/decisions/replica.py
+++ b/carawaylane/decisions/replica.py
@@ -6,7 +6,11 @@
 
 from attrs import Factory, define, evolve
 
-from carawaylane.messages.stored_objects import ObjectDelta, StoredObject
+from carawaylane.messages.stored_objects import (
+    ObjectDelta,
+    StoredObject,
+    era_of,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -60,9 +64,13 @@
     def changes_since(self, revision: int) -> ObjectDelta:
         """Return the changes after a revision, or all objects.
 
-        It is all objects if tombstones of later removals have been dropped.
+        It is all objects if tombstones of later removals have been dropped,
+        or if the revision is of another era: its copy may hold objects that
+        the store lost before this copy knew of them.
         """
-        base = revision if revision >= self.complete_from else 0
+        is_known = revision >= self.complete_from
+        same_era = era_of(revision) == era_of(self.revision)
+        base = revision if is_known and same_era else 0
         items = self.items.values()
         if base:
             delta_items = [item for item in items if item.revision > base]
@@ -90,12 +98,19 @@
         return current is None or current.data != item.data
 
     def _remove_unlisted(self, delta: ObjectDelta, now_s: float) -> list[str]:
+        """Remove the objects that a full list lacks.
+
+        What a restored store lacks may be written again.
+        """
         listed = {item.name for item in delta.items}
+        lapsed = era_of(delta.revision) != era_of(self.revision)
         changed = []
         for name, item in list(self.items.items()):
             if name in listed or item.data is None:
                 continue
-            self.items[name] = evolve(item, data=None, revision=delta.revision)
+            self.items[name] = evolve(
+                item, data=None, revision=delta.revision, lapsed=lapsed
+            )
             self._removed_at_s[name] = now_s
             changed.append(name)
         if not self.revision:
--- a/carawaylane/gateway/directory.py
+++ b/carawaylane/gateway/directory.py
@@ -25,6 +25,8 @@
     ObjectDelta,
     ObjectKind,
     StoredObject,
+    era_of,
+    revision_in_era,
 )
 from carawaylane.platform.documents import (
     decode_member,
@@ -35,6 +37,7 @@
     CONFIG_IN_FORCE,
     ENTRY_UNREADABLE,
     MEMBERS_MOVED,
+    STORE_RESTORED,
     TARGETS_MOVED,
     emit,
 )
@@ -132,9 +135,11 @@
         """
         now_s = self.kernel.now_s()
         replica = self.replicas[kind]
+        revision_before = replica.revision
         changed_names = replica.apply(delta, now_s)
         if changed_names is None:
             return False
+        self._log_restore(kind, revision_before)
         if delta.revision >= replica.revision:
             replica.mark_confirmed(now_s, age_s)
         if changed_names:
@@ -142,6 +147,18 @@
             _UPDATE_METHODS[kind](self, items)
         return True
 
+    def _log_restore(self, kind: ObjectKind, revision_before: int) -> None:
+        revision = self.replicas[kind].revision
+        if revision_before and era_of(revision) != era_of(revision_before):
+            emit(
+                STORE_RESTORED,
+                kind=kind.name,
+                era=era_of(revision),
+                revision=revision_in_era(revision),
+                era_before=era_of(revision_before),
+                revision_before=revision_in_era(revision_before),
+            )
+
     def _update_plan(self, items: Iterable[StoredObject]) -> None:
         """Put the newest version in force.
 
@@ -160,7 +177,7 @@
                     CONFIG_IN_FORCE,
                     version=plan.version,
                     routes=len(plan.routes),
-                    revision=item.revision,
+                    revision=revision_in_era(item.revision),
                 )
 
     def _update_targets(self, items: Iterable[StoredObject]) -> None:
@@ -207,7 +224,9 @@
             TARGETS_MOVED,
             services=sorted(changed_services),
             targets=len(self.targets),
-            revision=self.replicas[ObjectKind.TARGETS].revision,
+            revision=revision_in_era(
+                self.replicas[ObjectKind.TARGETS].revision
+            ),
         )
         for subscriber in self._subscribers:
             subscriber.post(
@@ -218,6 +237,11 @@
         self._ranked_names.clear()
         for item in items:
             member = None
+            if item.data is None and item.lapsed:
+                get_running_loop().call_later(
+                    LAPSED_GRACE_S, self._remove_member_if_lapsed, item.name
+                )
+                continue
             if item.data is not None:
                 member = decode_member(item.name, item.data)
             if isinstance(member, Member):
@@ -229,9 +253,18 @@
         emit(
             MEMBERS_MOVED,
             members=len(self.members),
-            revision=self.replicas[ObjectKind.MEMBERS].revision,
+            revision=revision_in_era(
+                self.replicas[ObjectKind.MEMBERS].revision
+            ),
         )
 
+    def _remove_member_if_lapsed(self, name: str) -> None:
+        """Remove a member that has not registered again since it lapsed."""
+        current = self.replicas[ObjectKind.MEMBERS].items.get(name)
+        if current is None or current.data is None:
+            self.members.pop(name, None)
+            self._ranked_names.clear()
+
     def _log_invalid(self, invalid: InvalidObject) -> None:
         emit(ENTRY_UNREADABLE, entry=invalid.name, reason=invalid.reason)
 
--- a/carawaylane/gateway/status.py
+++ b/carawaylane/gateway/status.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from carawaylane.kernel.service import Service, service
+from carawaylane.messages.stored_objects import era_of
 from carawaylane.platform.headers import READY_PATH
 from carawaylane.telemetry.events import dropped_lines
 
@@ -68,6 +69,10 @@
         gauge('ready', int(self._callers.ready()))
         gauge('plan_version', plan.version if plan else 0)
         gauge('targets', len(self._directory.targets))
+        gauge(
+            'store_era',
+            era_of(max(r.revision for r in self._directory.replicas.values())),
+        )
         gauge('members', len(self._directory.members))
         gauge('connections_opened', self._exchanges.connections_opened)
         gauge('log_dropped', dropped_lines())
--- a/carawaylane/gateway/store_watch.py
+++ b/carawaylane/gateway/store_watch.py
@@ -11,7 +11,11 @@
 from carawaylane.gateway.object_sync import HEARTBEAT_PERIOD_S
 from carawaylane.kernel.service import Service, service
 from carawaylane.messages.platform_objects import Member
-from carawaylane.messages.stored_objects import ObjectDelta, ObjectKind
+from carawaylane.messages.stored_objects import (
+    ObjectDelta,
+    ObjectKind,
+    revision_in_era,
+)
 from carawaylane.platform.documents import member_spec
 from carawaylane.platform.objects import HistoryExpired, ObjectStoreClient
 from carawaylane.storage.driver import Unavailable
@@ -21,6 +25,7 @@
     PLATFORM_DOWN,
     PLATFORM_UP,
     WATCH_DUTY,
+    WRITE_REPEATED,
     emit,
 )
 
@@ -41,6 +46,11 @@
 # Mean delay after which a starting node first asks for the list of members. At
 # a cold start, all nodes register at once, so that all are listed by then.
 JOIN_DELAY_S = 0.3
+# A node whose object the copy of the members lacks for this long registers
+# again. A copy usually lags by less.
+UNLISTED_S = 1.0
+# After a restore of the store, all nodes together register at this rate.
+REGISTRATIONS_PER_S = 400.0
 # If no node has had an answer from the store for this long, the store was down
 # and registrations may have expired. Removals that arrive within this time
 # after such an outage are marked as lapsed.
@@ -63,12 +73,16 @@
         self._store_is_up = True
         self._watches_plan = False
         self._mark_lapsed_until_s = 0.0
+        # Whether this node's object was in the store.
+        self._registered = False
 
     async def start(self) -> None:
         """Start registering this node and watching the store."""
         self._directory = self.kernel.find('directory')
         self._object_sync = self.kernel.find('news')
+        self._metrics = self.kernel.find('telemetry').metrics
         self.spawn(self._join())
+        self.spawn(self._registration_loop())
         for kind in ObjectKind:
             self.spawn(self._watch_loop(kind))
         self.spawn(self._heartbeat_loop())
@@ -98,12 +112,7 @@
     async def _join(self) -> None:
         """Register, then get the list of members from seeds or the store."""
         cfg = self.kernel.cfg
-        own_member = Member(
-            name=cfg.name,
-            address=cfg.peer_listen,
-            data_centre=cfg.data_centre,
-            cores=cfg.cores,
-        )
+        own_member = self._own_member()
         self._directory.add_member(own_member)
         self.spawn(self._register(own_member))
         await sleep(JOIN_DELAY_S * (0.5 + self.kernel.rng.random()))
@@ -117,6 +126,15 @@
             await sleep(RETRY_DELAY_S)
         emit(JOINED, member=cfg.name, members=len(self._directory.members))
 
+    def _own_member(self) -> Member:
+        cfg = self.kernel.cfg
+        return Member(
+            name=cfg.name,
+            address=cfg.peer_listen,
+            data_centre=cfg.data_centre,
+            cores=cfg.cores,
+        )
+
     async def _register(self, own_member: Member) -> None:
         spec = member_spec(own_member)
         # An earlier run of this node may have left its object in the store.
@@ -127,14 +145,50 @@
             if result is False:
                 listed = self._directory.members.get(own_member.name)
                 if listed == own_member:
+                    self._registered = True
                     return
                 result = await self._store.replace(
                     ObjectKind.MEMBERS, own_member.name, spec
                 )
             if result is True:
+                self._registered = True
                 return
             await self._delay_retry()
 
+    async def _registration_loop(self) -> None:
+        """Register again if the store no longer lists this node.
+
+        A store that was restored from an older copy has lost the object.
+        """
+        due_at_s: float | None = None
+        while True:
+            await sleep(WATCH_CHECK_PERIOD_S)
+            if self.kernel.draining or not self._is_unlisted():
+                due_at_s = None
+                continue
+            now_s = self.kernel.now_s()
+            if due_at_s is None:
+                # Spreads the writes of all nodes.
+                spread_s = len(self._directory.members) / REGISTRATIONS_PER_S
+                due_at_s = (
+                    now_s + UNLISTED_S + spread_s * self.kernel.rng.random()
+                )
+            if now_s >= due_at_s:
+                due_at_s = None
+                await self._register(self._own_member())
+                self._metrics.count('writes_repeated')
+                emit(WRITE_REPEATED, member=self.kernel.cfg.name)
+
+    def _is_unlisted(self) -> bool:
+        """Return whether the copy lacks this node, which has registered."""
+        replica = self._directory.replicas[ObjectKind.MEMBERS]
+        listed = replica.items.get(self.kernel.cfg.name)
+        return (
+            self._registered
+            and replica.revision > 0
+            and (listed is None or listed.data is None)
+        )
+
     async def _watch_loop(self, kind: ObjectKind) -> None:
         while True:
             if self.kernel.draining or not self._should_watch(kind):
@@ -187,7 +241,11 @@
             case ObjectDelta():
                 self._apply_delta(kind, result)
             case HistoryExpired():
-                emit(HISTORY_EXPIRED, kind=kind.name, revision=revision)
+                emit(
+                    HISTORY_EXPIRED,
+                    kind=kind.name,
+                    revision=revision_in_era(revision),
+                )
                 await self._list_objects(kind)
             case Unavailable():
                 await self._delay_retry()
--- a/carawaylane/messages/stored_objects.py
+++ b/carawaylane/messages/stored_objects.py
@@ -6,6 +6,20 @@
 
 from attrs import frozen
 
+# A revision holds the era of the store above this many bits. It orders the
+# states of the store also after a restore from an older copy.
+REVISION_BITS = 44
+
+
+def era_of(revision: int) -> int:
+    """Return the era of the store in which a revision was given out."""
+    return revision >> REVISION_BITS
+
+
+def revision_in_era(revision: int) -> int:
+    """Return a revision as the store numbers it within its era."""
+    return revision & (2**REVISION_BITS - 1)
+
 
 class ObjectKind(Enum):
     """The collection that an object belongs to."""
@@ -20,7 +34,8 @@
     """An object at the revision of its last change.
 
     `data` is None once the object is removed. A removal is marked `lapsed`
-    if the object may only have expired during an outage of the store.
+    if the object may only have expired during an outage of the store, or may
+    have been lost in a restore of the store.
     """
 
     name: str
--- a/carawaylane/platform/objects.py
+++ b/carawaylane/platform/objects.py
@@ -18,8 +18,11 @@
     ObjectDelta,
     ObjectKind,
     StoredObject,
+    era_of,
+    revision_in_era,
 )
 from carawaylane.platform.documents import COLLECTIONS, encode_json
+from carawaylane.platform.eras import EraReader, combine
 from carawaylane.storage.driver import Unavailable
 
 # A healthy store answers within milliseconds, but a slow one is still used.
@@ -45,6 +48,7 @@
     def __init__(self, *, address: str) -> None:
         self._url = f'http://{address}'
         self._session: ClientSession | None = None
+        self._eras = EraReader()
 
     async def close(self) -> None:
         """Close the connections."""
@@ -57,19 +61,23 @@
         items: list[StoredObject] = []
         after = ''
         revision = 0
+        eras: set[int] = set()
         while True:
             params = {'after': after} if after else {}
             resp = await self._call('GET', _path(kind), params=params)
             if isinstance(resp, Unavailable):
                 return resp
-            status, page = resp
+            status, page, era = resp
             if status != OK:
                 return Unavailable(reason=f'status {status}')
+            eras.add(era)
+            if len(eras) > 1:
+                return Unavailable(reason='restored during the list')
             try:
-                items += _parse_items(page['items'])
+                items += _parse_items(page['items'], era)
                 # The revision of the first page: a watch from there returns
                 # the changes that were made while later pages were fetched.
-                revision = revision or page['current_rev']
+                revision = revision or combine(era, page['current_rev'])
                 if not page.get('more') or not items:
                     return ObjectDelta(items=tuple(items), revision=revision)
                 after = items[-1].name
@@ -83,10 +91,11 @@
     ) -> ObjectDelta | HistoryExpired | Unavailable:
         """Return the changes after a revision; wait for them if needed.
 
-        The delta is empty if there are none within `wait_s`.
+        The delta is empty if there are none within `wait_s`. A revision of
+        another era of the store has expired.
         """
         params = {
-            'watch': str(revision),
+            'watch': str(revision_in_era(revision)),
             'wait_ms': str(int(wait_s * 1000)),
         }
         resp = await self._call(
@@ -97,15 +106,15 @@
         )
         if isinstance(resp, Unavailable):
             return resp
-        status, page = resp
-        if status == GONE:
+        status, page, era = resp
+        if status == GONE or era != era_of(revision):
             return HistoryExpired()
         if status != OK:
             return Unavailable(reason=f'status {status}')
         try:
             return ObjectDelta(
-                items=tuple(_parse_events(page)),
-                revision=page['current_rev'],
+                items=tuple(_parse_events(page, era)),
+                revision=combine(era, page['current_rev']),
                 base=revision,
             )
         except (KeyError, TypeError, AttributeError) as exc:
@@ -150,8 +159,8 @@
         timeout_s: float = CALL_TIMEOUT_S,
         body: Any = None,
         **kwargs: Any,
-    ) -> tuple[int, Any] | Unavailable:
-        """Return the status and the decoded body of the response."""
+    ) -> tuple[int, Any, int] | Unavailable:
+        """Return the status, the decoded body and the era of the response."""
         if self._session is None:
             self._session = ClientSession(
                 connector=TCPConnector(limit=0, keepalive_timeout=5.0),
@@ -167,7 +176,8 @@
             ) as resp:
                 if resp.status >= 500 or resp.status == 429:
                     return Unavailable(reason=f'status {resp.status}')
-                return resp.status, await resp.json(content_type=None)
+                era = self._eras.read(resp.headers)
+                return resp.status, await resp.json(content_type=None), era
         except (TimeoutError, ClientError, OSError, ValueError) as exc:
             return Unavailable(reason=type(exc).__name__)
 
@@ -176,34 +186,36 @@
     return '/'.join(('/objects', COLLECTIONS[kind], *names))
 
 
-def _parse_items(raw_items: list[Any]) -> list[StoredObject]:
+def _parse_items(raw_items: list[Any], era: int) -> list[StoredObject]:
     """Return the objects of a page, without those that are malformed."""
     return [
         item
         for raw_item in raw_items
-        if (item := _parse_item(raw_item)) is not None
+        if (item := _parse_item(raw_item, era)) is not None
     ]
 
 
-def _parse_events(page: dict[str, Any]) -> list[StoredObject]:
+def _parse_events(page: dict[str, Any], era: int) -> list[StoredObject]:
     items = []
     for event in page['events']:
-        item = _parse_item(event.get('object'))
+        item = _parse_item(event.get('object'), era)
         if item is not None and event.get('deleted'):
             # The object of a deletion event has the revision of its last
             # change, so the deletion gets the revision of the page.
-            item = evolve(item, data=None, revision=page['current_rev'])
+            item = evolve(
+                item, data=None, revision=combine(era, page['current_rev'])
+            )
         if item is not None:
             items.append(item)
     return items
 
 
-def _parse_item(raw_item: Any) -> StoredObject | None:
+def _parse_item(raw_item: Any, era: int) -> StoredObject | None:
     try:
         metadata = raw_item['metadata']
         return StoredObject(
             name=metadata['name'],
-            revision=metadata['revision'],
+            revision=combine(era, metadata['revision']),
             data=encode_json(raw_item.get('spec')),
         )
     except (KeyError, TypeError, AttributeError):
--- a/carawaylane/telemetry/events.py
+++ b/carawaylane/telemetry/events.py
@@ -161,6 +161,24 @@
     _WARN,
     'The store dropped the history of a watch; the node lists again.',
 )
+STORE_RESTORED = _declare_event(
+    215,
+    'store-restored',
+    _WARN,
+    'The store came back from an older copy; objects are listed again.',
+)
+ERA_UNREADABLE = _declare_event(
+    216,
+    'era-unreadable',
+    _WARN,
+    'An answer of the store lacks a valid era; the last one is assumed.',
+)
+WRITE_REPEATED = _declare_event(
+    217,
+    'write-repeated',
+    _INFO,
+    'An own object that a restored store had lost was written again.',
+)
 REQUEST_GRANTED = _declare_event(
     600, 'request-granted', _INFO, 'A home chose a target for a request.'
 )
--- a/standins/store.py
+++ b/standins/store.py
@@ -7,6 +7,7 @@
 
 from asyncio import Event, sleep, timeout
 from collections import Counter
+from copy import deepcopy
 from typing import Any
 
 from aiohttp import web
@@ -16,12 +17,14 @@
     """Objects by kind and name, with one revision counter for all.
 
     `calls` counts requests by method; `fault` is applied to each request.
+    `era` counts the restores from an older copy.
     `history` holds the revision, kind and object of each change, and whether
     it was a deletion.
     """
 
     def __init__(self, *, page_size: int = 50) -> None:
         self.revision = 1
+        self.era = 1
         self.objects: dict[str, dict[str, dict[str, Any]]] = {}
         self.history: list[tuple[int, str, dict[str, Any], bool]] = []
         self.expired_revision = 0
@@ -57,6 +60,22 @@
         self.history.clear()
         self.wake_watches()
 
+    def copy(self) -> tuple[int, dict[str, dict[str, dict[str, Any]]]]:
+        """Return a copy for `restore`."""
+        return self.revision, deepcopy(self.objects)
+
+    def restore(
+        self, copy: tuple[int, dict[str, dict[str, dict[str, Any]]]]
+    ) -> None:
+        """Come back from a copy: what was written since is gone."""
+        self.revision, objects = copy
+        self.objects = deepcopy(objects)
+        self.history = [
+            change for change in self.history if change[0] <= self.revision
+        ]
+        self.era += 1
+        self.wake_watches()
+
     def wake_watches(self) -> None:
         """Let pending watches check for events and faults."""
         self._changed.set()
@@ -73,6 +92,11 @@
         self.wake_watches()
 
     async def _serve(self, req: web.Request) -> web.Response:
+        response = await self._answer(req)
+        response.headers['Store-Era'] = str(self.era)
+        return response
+
+    async def _answer(self, req: web.Request) -> web.Response:
         self.calls[req.method] += 1
         if self.fault == 'busy':
             return web.Response(status=503)
@@ -119,7 +143,10 @@
                 while self.fault or not self._events(kind, since_revision):
                     if self.fault:
                         return web.Response(status=503)
-                    if since_revision < self.expired_revision:
+                    if (
+                        since_revision < self.expired_revision
+                        or since_revision > self.revision
+                    ):
                         return web.json_response({}, status=410)
                     await self._changed.wait()
         except TimeoutError:
--- a/tests/decisions/test_replica.py
+++ b/tests/decisions/test_replica.py
@@ -4,7 +4,11 @@
 from hypothesis import strategies as st
 
 from carawaylane.decisions.replica import TOMBSTONE_TTL_S, ObjectReplica
-from carawaylane.messages.stored_objects import ObjectDelta, StoredObject
+from carawaylane.messages.stored_objects import (
+    REVISION_BITS,
+    ObjectDelta,
+    StoredObject,
+)
 
 
 def item(name, revision, data=b'1', lapsed=False):
@@ -69,6 +73,57 @@
     assert replica.age_s(11.0) == 3.0
 
 
+def in_era(era, revision):
+    return (era << REVISION_BITS) + revision
+
+
+def test_a_list_of_a_new_era_replaces_objects_of_greater_revisions():
+    """A restored store gives out the same revisions again."""
+    replica = ObjectReplica()
+    before = (item('a', in_era(1, 8), b'lost'), item('b', in_era(1, 9)))
+    replica.apply(ObjectDelta(items=before, revision=in_era(1, 9)), 0.0)
+    restored = (item('a', in_era(2, 5), b'copy'),)
+    replica.apply(ObjectDelta(items=restored, revision=in_era(2, 6)), 1.0)
+    assert replica.items['a'].data == b'copy'
+    assert replica.items['b'].data is None
+    # It may be written again.
+    assert replica.items['b'].lapsed
+
+
+def test_a_late_list_of_an_older_era_changes_nothing():
+    replica = ObjectReplica()
+    replica.apply(
+        ObjectDelta(
+            items=(item('a', in_era(2, 5), b'copy'),), revision=in_era(2, 6)
+        ),
+        0.0,
+    )
+    late = (item('a', in_era(1, 8), b'lost'),)
+    assert (
+        replica.apply(ObjectDelta(items=late, revision=in_era(1, 9)), 1.0)
+        == []
+    )
+    assert replica.items['a'].data == b'copy'
+
+
+def test_a_peer_of_another_era_gets_all_objects():
+    """It may hold an object that this copy never had."""
+    replica, peer = ObjectReplica(), ObjectReplica()
+    listed = (item('a', in_era(1, 1)),)
+    replica.apply(ObjectDelta(items=listed, revision=in_era(1, 1)), 0.0)
+    peer.apply(
+        ObjectDelta(
+            items=(*listed, item('lost', in_era(1, 3))), revision=in_era(1, 3)
+        ),
+        0.0,
+    )
+    replica.apply(ObjectDelta(items=listed, revision=in_era(2, 1)), 1.0)
+    delta = replica.changes_since(peer.revision)
+    assert delta.base == 0
+    peer.apply(delta, 2.0)
+    assert [item.name for item in peer.existing()] == ['a']
+
+
 CHANGE = st.tuples(st.sampled_from('abc'), st.booleans())
 
 
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -313,3 +313,75 @@
         directory = node.find('directory')
         await fleet.wait_until(lambda d=directory: d.plan.version > 1)
         assert (await fetch(node, '/read/x')).status == 200
+
+
+async def test_all_nodes_follow_a_store_that_is_restored_from_an_older_copy(
+    fleet,
+):
+    """The restored store lacks a target and gives out revisions again."""
+    nodes = await start_three_nodes(fleet)
+    await fleet.start_target('i-1')
+    for node in nodes:
+        members = node.find('directory').members
+        await fleet.wait_until(lambda m=members: len(m) == 3)
+    copy = fleet.store.copy()
+    fleet.store.put('config', 'main', plan_spec(2))
+    fleet.register_target('lost', 9)
+    for node in nodes:
+        directory = node.find('directory')
+        await fleet.wait_until(
+            lambda d=directory: d.plan.version == 2 and 'lost' in d.targets
+        )
+    fleet.store.restore(copy)
+    await fleet.start_target('i-2')
+    for node in nodes:
+        directory = node.find('directory')
+        await fleet.wait_until(
+            lambda d=directory: set(d.targets) == {'i-1', 'i-2'}
+        )
+        # The configuration in force does not go back.
+        assert directory.plan.version == 2
+        assert (await fetch(node, '/read/x')).status == 200
+    fleet.store.put(
+        'config', 'main', plan_spec(3, [route_spec('new', '/new/')])
+    )
+    for node in nodes:
+        directory = node.find('directory')
+        await fleet.wait_until(lambda d=directory: d.plan.version == 3)
+        assert (await fetch(node, '/new/x')).status == 200
+
+
+async def test_nodes_that_a_restored_store_has_lost_register_again(fleet):
+    copy = fleet.store.copy()
+    nodes = await start_three_nodes(fleet)
+    await fleet.start_target('i-1')
+    for node in nodes:
+        members = node.find('directory').members
+        await fleet.wait_until(lambda m=members: len(m) == 3)
+    fleet.store.restore(copy)
+    fleet.store.put('config', 'main', plan_spec())
+    await fleet.wait_until(
+        lambda: len(fleet.store.objects.get('members', ())) == 3
+    )
+    for node in nodes:
+        # Homes stay as they are meanwhile.
+        assert len(node.find('directory').members) == 3
+    await sleep(LAPSED_GRACE_S + 0.5)
+    for node in nodes:
+        assert len(node.find('directory').members) == 3
+
+
+async def test_a_node_cut_off_from_a_restored_store_follows_its_peers(fleet):
+    nodes = await start_three_nodes(fleet)
+    copy = fleet.store.copy()
+    await fleet.start_target('i-1')
+    for node in nodes:
+        directory = node.find('directory')
+        await fleet.wait_until(lambda d=directory: 'i-1' in d.targets)
+    cut_off = nodes[0].find('store_watch')
+    cut_off._store._url = 'http://127.0.0.1:9'
+    await cut_off._store.close()
+    fleet.store.restore(copy)
+    await fleet.start_target('i-2')
+    directory = nodes[0].find('directory')
+    await fleet.wait_until(lambda: set(directory.targets) == {'i-2'})
