--- a/bench/gateway_slopes.py
+++ b/bench/gateway_slopes.py
@@ -16,7 +16,12 @@
 from carawaylane.decisions.dissemination import rank_members
 from carawaylane.decisions.failure_estimate import Result
 from carawaylane.decisions.replica import ObjectReplica
-from carawaylane.messages.dispatch import Grant, SlotRequest
+from carawaylane.messages.dispatch import (
+    AttemptCounts,
+    AttemptReport,
+    Grant,
+    SlotRequest,
+)
 from carawaylane.messages.platform_objects import Member, TargetSpec
 from carawaylane.messages.stored_objects import ObjectDelta, StoredObject
 from carawaylane.rpc.fleet_codec import (
@@ -44,6 +49,11 @@
         objective_s=0.6,
         digest=1 << 60,
         request_id='9c41d07be2a35f68',
+        # As many as an entry of a large service has in the window.
+        recent_attempts=AttemptReport(
+            total=AttemptCounts(first_attempts=35, retries=4),
+            at_home=AttemptCounts(first_attempts=35, retries=4),
+        ),
     )
 
 
