--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -37,6 +37,7 @@
     shard_review_us,
 )
 from carawaylane.decisions.compiled_config import CompiledConfig  # noqa: E402
+from carawaylane.decisions.ledger import MAX_ATTEMPT_AGE_MS  # noqa: E402
 from carawaylane.decisions.traffic_kinds import TrafficKindTable  # noqa: E402
 
 ROOT = Path(__file__).parent.parent
@@ -175,7 +176,11 @@
     bytes_per_s = 2 * ping_size * (1 + standby_pings_per_s)
     bytes_per_s += 2 * messages_per_node * push_size * changes_per_s
     keys_per_node = REQUESTS_PER_S * UNSAFE_SHARE / NODES * RESEND_WINDOW_S
-    ledger_mb = keys_per_node * slopes['ledger'].per_piece / MB
+    # The ledger keeps records beyond the window, for late attempts.
+    ledger_keys = keys_per_node * (
+        1 + MAX_ATTEMPT_AGE_MS / 1000 / RESEND_WINDOW_S
+    )
+    ledger_mb = ledger_keys * slopes['ledger'].per_piece / MB
     journal_mb = keys_per_node * slopes['journal'].per_piece / MB
     config_mb = (slopes['routes'].costs[-1] + slopes['targets'].costs[-1]) / MB
     fleet_mb = slopes['members and owners'].costs[-1] / MB
@@ -208,6 +213,7 @@
         'bytes_per_s': bytes_per_s,
         'bytes_factor': bytes_per_s / MAX_CONTROL_BYTES_PER_S,
         'keys': keys_per_node,
+        'ledger_keys': ledger_keys,
         'ledger_mb': ledger_mb,
         'journal_mb': journal_mb,
         'config_mb': config_mb,
