Split the choice of a target from the dispatcher

decisions/dispatcher.py had grown to 750 lines. target_pool.py now keeps the targets, the requests in flight and the choice; the dispatcher keeps queue, budget, quarantine and results. A lost entry no longer leaves an empty row in the index of requests by entry.

--- a/bench/dispatch_sim.py
+++ b/bench/dispatch_sim.py
@@ -167,7 +167,7 @@
     def _choose_target(self, request: SlotRequest, now_s: float) -> Any:
         free_targets = [
             target
-            for target in self.targets.values()
+            for target in self.pool.targets.values()
             if target.has_free_slot()
             and target.spec.name not in request.avoided_targets
         ]
@@ -361,7 +361,7 @@
         load = self.load
         target = self._targets[grant.target]
         self._attempts.append((now_s, grant.target))
-        target_state = self.dispatcher.targets[grant.target]
+        target_state = self.dispatcher.pool.targets[grant.target]
         self.totals.new_connections += not target_state.has_connection(
             request.slot_request.entry, now_s
         )
@@ -418,7 +418,7 @@
         self, now_s: float, attempt: _Attempt, interval_s: float
     ) -> None:
         if not attempt.ended:
-            self.dispatcher.confirm_in_flight(attempt.ticket, now_s)
+            self.dispatcher.pool.confirm(attempt.ticket, now_s)
             # The minimum is MIN_REPORT_INTERVAL_S of gateway/forwarding.py.
             self._schedule(
                 now_s + max(0.05, interval_s),
--- a/carawaylane/decisions/__init__.py
+++ b/carawaylane/decisions/__init__.py
@@ -1,10 +1,10 @@
 """Decision logic as plain classes without I/O; the time is passed in.
 
 A node of the gateway (`carawaylane.gateway`) chooses a target for each request
-by `dispatcher`, which builds on `failure_estimate`, `target_state`,
-`usage_floor`, `shared_retry_budget` and `quarantine`. Its copy of the
-platform's objects is in `replica`, `dissemination` says how that spreads, and
-`route_table` matches requests to services.
+by `dispatcher`, which builds on `target_pool`, `failure_estimate`,
+`target_state`, `usage_floor`, `shared_retry_budget` and `quarantine`. Its copy
+of the platform's objects is in `replica`, `dissemination` says how that
+spreads, and `route_table` matches requests to services.
 
 A node of `carawayd` (`carawaylane.services`) grants the slots of a shard by
 `slots`, ejects targets by `health` and `detector`, and limits retries by
--- a/carawaylane/decisions/dispatcher.py
+++ b/carawaylane/decisions/dispatcher.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
 from statistics import NormalDist
 from typing import TYPE_CHECKING
 
@@ -17,8 +16,6 @@
 
 from carawaylane.decisions.failure_estimate import (
     FAILING_LOSS_SHARE,
-    FailureEstimate,
-    LatencyModel,
     Result,
 )
 from carawaylane.decisions.quarantine import Quarantine
@@ -26,8 +23,7 @@
     RetryUsage,
     SharedRetryBudget,
 )
-from carawaylane.decisions.target_state import InFlightRequest, TargetState
-from carawaylane.decisions.usage_floor import UNTRIED_S, UsageFloor
+from carawaylane.decisions.target_pool import TargetPool
 from carawaylane.messages.dispatch import (
     AttemptKind,
     Grant,
@@ -41,25 +37,13 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from carawaylane.decisions.target_state import (
+        InFlightRequest,
+        TargetState,
+    )
     from carawaylane.messages.platform_objects import TargetSpec
     from carawaylane.settings.gateway import Bounds
 
-# Costs of choosing a target, in units of a lost request. COST_BUSY is
-# multiplied by the share of its slots in use, COST_SLOW by its slowness and
-# COST_SHED by the share of requests that it sheds.
-COST_BUSY = 0.1
-COST_SLOW = 0.12
-COST_WARMING_UP = 0.08
-COST_SHED = 0.15
-COST_OTHER_DATA_CENTRE = 0.04
-# A new connection costs a round trip and part of the slot's time.
-COST_CONNECT = 0.035
-# A new target soon gets a first request, so that it is known whether it works
-# when its capacity is needed.
-UNTRIED_BONUS = 0.3
-FIRST_REQUEST_AFTER_S = 1.0
-# A lost idempotent request costs less, since it can be retried.
-IDEMPOTENT_LOSS_COST = 0.4
 # A request accepts this risk at once. The accepted risk then rises with the
 # waiting time and reaches 1 after SELECTIVE_SHARE of the latency objective.
 # IMMEDIATE_RISK is above STATIONARY_RISK, the estimate for a target without
@@ -77,15 +61,10 @@
 # How long an entry avoids a target that it could not reach or that did not
 # answer in time.
 AVOIDANCE_S = 4.0
-# Without new evidence the risk of a target changes over seconds, so it is not
-# evaluated anew for each of the hundreds of requests in a second.
-RISK_TTL_S = 0.02
 # An entry reports a result at most this late after the request's deadline.
 REPORT_SLACK_S = 1.0
 # Requests of a lost entry are taken to end after this many mean exchanges.
 LOST_ENTRY_EXCHANGES = 3.0
-# A target below this failure probability counts as capacity.
-USABLE_RISK = 0.5
 # A request is granted only while this share of a mean exchange is left.
 MIN_WORK_SHARE = 0.7
 # Share of the latency objective that waiting and a mean exchange may take if
@@ -122,35 +101,18 @@
     deadline_s: float
 
 
-@define(kw_only=True)
-class _FreeTargets:
-    """Targets with a free slot at a time, and those due for the floor."""
-
-    at_s: float
-    all: list[TargetState]
-    due: list[TargetState]
-
-
 class Dispatcher:
     """Decides on the requests for slots on the targets of one service.
 
-    It keeps the state of the targets, the requests in flight on them, the
-    queue and the retry budget.
+    It keeps the queue, the retry budget and the quarantine; `pool` keeps the
+    targets and the requests in flight at them.
     """
 
     def __init__(self, *, service: str, bounds: Bounds) -> None:
         self.service = service
-        self.targets: dict[str, TargetState] = {}
-        self.latency_models: dict[str, LatencyModel] = {}
-        self.in_flight: dict[Ticket, InFlightRequest] = {}
-        self._in_flight_by_entry: dict[str, dict[Ticket, InFlightRequest]] = (
-            defaultdict(dict)
-        )
+        self.pool = TargetPool(floor_share=bounds.floor_share)
         self.quarantine = Quarantine(max_victims=MAX_VICTIMS)
-        self._floor = UsageFloor(share=bounds.floor_share)
         self._queue: list[_QueuedRequest] = []
-        # Cached for one point in time; None after a change.
-        self._free: _FreeTargets | None = None
         self._mean_exchange_s = INITIAL_EXCHANGE_S
         # Slots that can serve the queue, cached for one point in time.
         self._usable_slots, self._usable_slots_at_s = 1, float('-inf')
@@ -160,50 +122,11 @@
             slack=bounds.retry_slack,
         )
 
-    # Targets
-
     def update_targets(
         self, specs: Iterable[TargetSpec], now_s: float
     ) -> None:
         """Update the list of targets; those that remain keep their state."""
-        self._free = None
-        spec_by_name = {spec.name: spec for spec in specs}
-        for name in set(self.targets) - set(spec_by_name):
-            del self.targets[name]
-        for name, spec in spec_by_name.items():
-            target = self.targets.get(name)
-            if target is None or target.spec.started_ms != spec.started_ms:
-                self.targets[name] = TargetState(
-                    spec=spec,
-                    estimate=FailureEstimate(at_s=now_s),
-                    updated_at_s=now_s,
-                )
-                continue
-            if target.spec != spec:
-                # A replaced target is open again once it has a new address.
-                target.replaced = target.replaced and (
-                    target.spec.address == spec.address
-                )
-                target.updated_at_s = now_s
-                target.spec = spec
-
-    def failure_risk(self, target: TargetState, now_s: float) -> float:
-        """Return the probability that a target is failing.
-
-        It is evaluated again after new evidence, and after RISK_TTL_S.
-        """
-        if now_s - target.cached_risk_at_s < RISK_TTL_S:
-            return target.cached_risk
-        for granted in target.in_flight.values():
-            model = self._latency_model(granted.request)
-            granted.observation.ratio = model.likelihood_ratio(
-                granted.unanswered_s(now_s)
-            )
-        target.cached_risk, target.cached_risk_at_s = (
-            target.estimate.probability_at(now_s),
-            now_s,
-        )
-        return target.cached_risk
+        self.pool.update(specs, now_s)
 
     # Requests
 
@@ -264,17 +187,6 @@
             queued for queued in self._queue if queued.request.ticket != ticket
         ]
 
-    def confirm_in_flight(self, ticket: Ticket, now_s: float) -> None:
-        """Record that an entry still waits for the answer of a target."""
-        granted = self.in_flight.get(ticket)
-        if granted is not None:
-            granted.confirmed_at_s = now_s
-            self._free = None
-            target = self.targets.get(granted.target)
-            if target is not None:
-                # The risk depends on the age up to which there is no answer.
-                target.cached_risk_at_s = float('-inf')
-
     def drop_entry(self, entry: str) -> None:
         """Remove the queued requests of a lost entry.
 
@@ -283,8 +195,7 @@
         self._queue = [
             queued for queued in self._queue if queued.request.entry != entry
         ]
-        for granted in self._in_flight_by_entry[entry].values():
-            granted.entry_lost = True
+        self.pool.drop_entry(entry)
 
     def serve_queue(self, now_s: float) -> list[tuple[SlotRequest, SlotReply]]:
         """Return new grants and refusals for queued requests."""
@@ -304,13 +215,6 @@
         """Return the number of queued requests."""
         return len(self._queue)
 
-    def suspect_count(self, now_s: float) -> int:
-        """Return how many targets are more likely failing than not."""
-        return sum(
-            self.failure_risk(target, now_s) >= USABLE_RISK
-            for target in self.targets.values()
-        )
-
     def retry_usage(self, now_s: float) -> RetryUsage:
         """Return how much of the retry budget this home has granted."""
         return self.retry_budget.home_usage(now_s)
@@ -321,20 +225,14 @@
         self, ticket: Ticket, result: Result, duration_s: float, now_s: float
     ) -> None:
         """Record how the exchange of a granted request ended."""
-        granted = self.in_flight.pop(ticket, None)
+        granted = self.pool.end_in_flight(ticket)
         if granted is None:
             return
-        self._free = None
-        entry = granted.request.entry
-        del self._in_flight_by_entry[entry][ticket]
-        if not self._in_flight_by_entry[entry]:
-            del self._in_flight_by_entry[entry]
-        target = self.targets.get(granted.target)
+        target = self.pool.targets.get(granted.target)
         if target is not None:
-            target.in_flight.pop(ticket, None)
             self._apply_result(target, granted, result, duration_s, now_s)
         if result not in (Result.CANCELLED, Result.UNUSED):
-            self._floor.record_result(
+            self.pool.floor.record_result(
                 now_s, lost=result is not Result.ANSWERED
             )
 
@@ -346,7 +244,7 @@
         duration_s: float,
         now_s: float,
     ) -> None:
-        model = self._latency_model(granted.request)
+        model = self.pool.latency_model(granted.request)
         estimate = target.estimate
         target.cached_risk_at_s = float('-inf')
         if result is Result.ANSWERED:
@@ -376,7 +274,7 @@
             model.record_hang(0.0)
         elif result in (Result.OVERDUE, Result.CANCELLED):
             # Later answers may already show that the target was healthy.
-            healthy_probability = 1 - self.failure_risk(target, now_s)
+            healthy_probability = 1 - self.pool.failure_risk(target, now_s)
             model.record_hang(
                 healthy_probability * model.hang_probability(duration_s)
             )
@@ -404,7 +302,7 @@
                 )
         target.broken_at_s.clear()
 
-    # Choice of a target
+    # Decision
 
     def _immediate_refusal(
         self, request: SlotRequest, now_s: float
@@ -417,7 +315,7 @@
             return self._refuse(
                 request, QUARANTINE_RETRY_S, 'the request crashes targets'
             )
-        if not any(target.is_open() for target in self.targets.values()):
+        if not any(target.is_open() for target in self.pool.targets.values()):
             return self._refuse(
                 request, NO_TARGET_RETRY_S, 'no target is known'
             )
@@ -451,9 +349,9 @@
         if request.attempt.is_retry:
             self.retry_budget.record_retry(request.entry, now_s)
         target.estimate.last_sent_s = now_s
-        self._floor.record_sent(now_s)
+        self.pool.floor.record_sent(now_s)
         hedge_after_s = self._hedge_delay_s(request, risk)
-        self._add_in_flight(target, request, now_s, hedge_after_s)
+        self.pool.add_in_flight(target, request, now_s, hedge_after_s)
         return Grant(
             ticket=request.ticket,
             target=target.spec.name,
@@ -462,25 +360,11 @@
             risk=risk,
         )
 
-    def _add_in_flight(
-        self,
-        target: TargetState,
-        request: SlotRequest,
-        now_s: float,
-        hedge_after_s: float,
-    ) -> None:
-        granted = InFlightRequest(
-            request=request,
-            target=target.spec.name,
-            granted_at_s=now_s,
-            confirmed_at_s=now_s,
-            hedge_after_s=hedge_after_s,
-            observation=target.estimate.record_sent(now_s),
-        )
-        self._free = None
-        target.in_flight[request.ticket] = granted
-        self.in_flight[request.ticket] = granted
-        self._in_flight_by_entry[request.entry][request.ticket] = granted
+    def _choose_target(
+        self, request: SlotRequest, now_s: float
+    ) -> tuple[TargetState, float] | None:
+        """Return the free target of lowest cost and its failure risk."""
+        return self.pool.choose(request, now_s)
 
     def _accepted_risk(self, request: SlotRequest, waited_s: float) -> float:
         """Return the risk that a request accepts after a wait."""
@@ -492,156 +376,10 @@
         share = waited_s / (SELECTIVE_SHARE * request.objective_s)
         return immediate + share * (1 - immediate)
 
-    def _choose_target(
-        self, request: SlotRequest, now_s: float
-    ) -> tuple[TargetState, float] | None:
-        """Return the free target of lowest cost and its failure risk."""
-        free = self._free_targets(now_s)
-        stuck_at = self._targets_where_stuck(request.entry, now_s)
-        candidates = self._reachable(free.due, request, stuck_at, now_s)
-        if not candidates:
-            reachable = self._reachable(free.all, request, stuck_at, now_s)
-            candidates = reachable or self._unreachable(free, request)
-        best: tuple[float, float, TargetState] | None = None
-        for target in candidates:
-            risk = self.failure_risk(target, now_s)
-            cost = self._cost(target, request, risk, now_s)
-            if best is None or cost < best[0]:
-                best = (cost, risk, target)
-        return (best[2], best[1]) if best else None
-
-    def _reachable(
-        self,
-        targets: list[TargetState],
-        request: SlotRequest,
-        stuck_at: set[str],
-        now_s: float,
-    ) -> list[TargetState]:
-        """Return the targets that the entry is believed to reach."""
-        avoided = request.avoided_targets | stuck_at
-        return [
-            target
-            for target in targets
-            if target.spec.name not in avoided
-            and target.avoided_until_s.get(request.entry, 0.0) <= now_s
-        ]
-
-    def _unreachable(
-        self, free: _FreeTargets, request: SlotRequest
-    ) -> list[TargetState]:
-        """Return the targets to try if the entry may reach none of them."""
-        due, others = (
-            [
-                target
-                for target in targets
-                if target.spec.name not in request.avoided_targets
-            ]
-            for targets in (free.due, free.all)
-        )
-        return due or others
-
-    def _targets_where_stuck(self, entry: str, now_s: float) -> set[str]:
-        """Return the targets where a request of an entry is stuck.
-
-        The entry may not reach them.
-        """
-        in_flight = self._in_flight_by_entry.get(entry, {})
-        return {
-            granted.target
-            for granted in in_flight.values()
-            if self._is_stuck(granted, now_s)
-        }
-
-    def _cost(
-        self,
-        target: TargetState,
-        request: SlotRequest,
-        risk: float,
-        now_s: float,
-    ) -> float:
-        """Return the cost of choosing a target, in units of a lost request."""
-        cost = risk * (IDEMPOTENT_LOSS_COST if request.idempotent else 1.0)
-        cost += COST_BUSY * len(target.in_flight) / target.spec.slots
-        cost += COST_SLOW * max(0.0, target.estimate.slowness_at(now_s))
-        cost += COST_SHED * target.estimate.shed_share
-        if target.is_warming_up(now_s):
-            cost += COST_WARMING_UP
-        if target.spec.data_centre != request.data_centre:
-            cost += COST_OTHER_DATA_CENTRE
-        if not target.has_connection(request.entry, now_s):
-            cost += COST_CONNECT
-        untried = target.estimate.last_sent_s == float('-inf')
-        if untried and now_s - target.updated_at_s > FIRST_REQUEST_AFTER_S:
-            cost -= UNTRIED_BONUS
-        return cost
-
-    def _free_targets(self, now_s: float) -> _FreeTargets:
-        """Return the targets with a free slot, the same until one changes."""
-        free = self._free
-        if free is None or free.at_s != now_s:
-            all_free = [
-                target
-                for target in self.targets.values()
-                if target.is_open() and target.has_free_slot()
-            ]
-            due = self._names_due_for_floor(now_s)
-            free = _FreeTargets(
-                at_s=now_s,
-                all=all_free,
-                due=[target for target in all_free if target.spec.name in due],
-            )
-            self._free = free
-        return free
-
-    def _names_due_for_floor(self, now_s: float) -> set[str]:
-        """Return the targets that are due while the usage floor is not met."""
-        stuck = self._count_stuck(self.in_flight, now_s)
-        risk_limit = self._floor.risk_limit(now_s, len(self.targets), stuck)
-        if not risk_limit:
-            return set()
-        healthy = [
-            target
-            for target in self.targets.values()
-            if target.is_open()
-            and self.failure_risk(target, now_s) < risk_limit
-        ]
-        untried = {
-            target.spec.name
-            for target in healthy
-            if now_s - target.estimate.last_sent_s >= UNTRIED_S
-        }
-        if self._floor.is_met(len(healthy), len(untried)):
-            return set()
-        return untried
-
-    def _count_stuck(
-        self, in_flight: dict[Ticket, InFlightRequest], now_s: float
-    ) -> int:
-        """Return how many requests are stuck; the oldest must come first."""
-        limit_s = min(
-            (model.stuck_after_s for model in self.latency_models.values()),
-            default=0.0,
-        )
-        count = 0
-        for granted in in_flight.values():
-            if now_s - granted.granted_at_s <= limit_s:
-                break
-            count += self._is_stuck(granted, now_s)
-        return count
-
-    def _is_stuck(self, granted: InFlightRequest, now_s: float) -> bool:
-        """Return whether a request is unanswered for an unusual time."""
-        limit_s = self._latency_model(granted.request).stuck_after_s
-        # The first comparison is cheap, and false for most requests.
-        return (
-            now_s - granted.granted_at_s > limit_s
-            and granted.unanswered_s(now_s) > limit_s
-        )
-
     def _hedge_delay_s(self, request: SlotRequest, risk: float) -> float:
         """Return the age at which the target more likely hangs than not."""
         odds = (1 - risk) / risk
-        hang_share = self._latency_model(request).hang_share
+        hang_share = self.pool.latency_model(request).hang_share
         share = (FAILING_LOSS_SHARE - odds * hang_share) / max(
             0.01, odds * (1 - hang_share) - (1 - FAILING_LOSS_SHARE)
         )
@@ -649,7 +387,7 @@
             share = MAX_UNANSWERED_SHARE
         share = max(MIN_UNANSWERED_SHARE, min(MAX_UNANSWERED_SHARE, share))
         z = NormalDist().inv_cdf(1 - share)
-        return self._latency_model(request).quantile_s(z)
+        return self.pool.latency_model(request).quantile_s(z)
 
     # Queue
 
@@ -704,22 +442,11 @@
         """Return the expected wait behind a number of queued requests."""
         if self._usable_slots_at_s != now_s:
             self._usable_slots, self._usable_slots_at_s = (
-                self._count_usable_slots(now_s),
+                self.pool.count_usable_slots(now_s),
                 now_s,
             )
         return (ahead + 1) * self._mean_exchange_s / self._usable_slots
 
-    def _count_usable_slots(self, now_s: float) -> int:
-        """Return how many slots can serve the queue, at least 1."""
-        slots = 0
-        for target in self.targets.values():
-            if not target.is_open():
-                continue
-            stuck = self._count_stuck(target.in_flight, now_s)
-            if self.failure_risk(target, now_s) < USABLE_RISK:
-                slots += max(0, target.spec.slots - stuck)
-        return max(1, slots)
-
     def _refuse(
         self, request: SlotRequest, retry_after_s: float, reason: str
     ) -> Refusal:
@@ -732,7 +459,7 @@
 
     def _expire_in_flight(self, now_s: float) -> None:
         """Drop requests whose entry will not report a result any more."""
-        for ticket, granted in list(self.in_flight.items()):
+        for ticket, granted in list(self.pool.in_flight.items()):
             end_s = (
                 granted.granted_at_s + granted.request.left_s + REPORT_SLACK_S
             )
@@ -744,10 +471,3 @@
             if now_s > end_s:
                 # The silence of an entry is no evidence about the target.
                 self.record_result(ticket, Result.UNUSED, 0.0, now_s)
-
-    def _latency_model(self, request: SlotRequest) -> LatencyModel:
-        model = self.latency_models.get(request.route)
-        if model is None:
-            model = LatencyModel.for_objective(request.objective_s)
-            self.latency_models[request.route] = model
-        return model
--- a/carawaylane/gateway/dispatchers.py
+++ b/carawaylane/gateway/dispatchers.py
@@ -144,7 +144,7 @@
     @handles(ReportResult)
     def _report_result(self, msg: ReportResult) -> None:
         dispatcher = self.dispatcher(msg.service)
-        granted = dispatcher.in_flight.get(msg.ticket)
+        granted = dispatcher.pool.in_flight.get(msg.ticket)
         if granted is None:
             dispatcher.cancel_queued(msg.ticket)
             self._reply_callbacks.pop(msg.ticket, None)
@@ -152,14 +152,16 @@
         dispatcher.record_result(
             msg.ticket, msg.result, msg.duration_s, self.kernel.now_s()
         )
-        target = dispatcher.targets.get(granted.target)
+        target = dispatcher.pool.targets.get(granted.target)
         emit(
             TARGET_REPORT,
             request=granted.request.request_id,
             target=granted.target,
             result=msg.result.name,
             took_ms=round(msg.duration_s * 1000),
-            sick=round(dispatcher.failure_risk(target, self.kernel.now_s()), 3)
+            sick=round(
+                dispatcher.pool.failure_risk(target, self.kernel.now_s()), 3
+            )
             if target
             else None,
         )
@@ -168,7 +170,7 @@
     @handles(ReportStillWaiting)
     def _report_still_waiting(self, msg: ReportStillWaiting) -> None:
         dispatcher = self.dispatcher(msg.service)
-        dispatcher.confirm_in_flight(msg.ticket, self.kernel.now_s())
+        dispatcher.pool.confirm(msg.ticket, self.kernel.now_s())
 
     @handles(EntryLost)
     def _drop_entry(self, msg: EntryLost) -> None:
--- a/carawaylane/gateway/status.py
+++ b/carawaylane/gateway/status.py
@@ -86,5 +86,8 @@
         )
         gauge(
             'targets_doubted',
-            sum(dispatcher.suspect_count(now_s) for dispatcher in dispatchers),
+            sum(
+                dispatcher.pool.suspect_count(now_s)
+                for dispatcher in dispatchers
+            ),
         )
--- a/tests/decisions/test_dispatcher.py
+++ b/tests/decisions/test_dispatcher.py
@@ -2,16 +2,16 @@
 
 import pytest
 
-from carawaylane.decisions.dispatcher import (
-    FIRST_REQUEST_AFTER_S,
-    RISK_TTL_S,
-    Dispatcher,
-)
+from carawaylane.decisions.dispatcher import Dispatcher
 from carawaylane.decisions.failure_estimate import (
     HEALTHY_LOSS_SHARE,
     FailureEstimate,
     Result,
 )
+from carawaylane.decisions.target_pool import (
+    FIRST_REQUEST_AFTER_S,
+    RISK_TTL_S,
+)
 from carawaylane.decisions.target_state import CONFIRM_SLACK_S
 from carawaylane.decisions.usage_floor import MIN_LOSSES
 from carawaylane.messages.dispatch import (
@@ -47,6 +47,11 @@
     return dispatcher
 
 
+def risk_of(dispatcher, name, now_s):
+    pool = dispatcher.pool
+    return pool.failure_risk(pool.targets[name], now_s)
+
+
 class RequestFactory:
     def __init__(self):
         self.number = 0
@@ -170,8 +175,8 @@
     serve(dispatcher, make_request(), 0.0, 1.0, Result.OVERDUE)
     dispatcher.request_slot(make_request(), 1.1)
     dispatcher.update_targets([target_spec('t1', started_ms=9)], 1.2)
-    assert not dispatcher.targets['t1'].in_flight
-    assert dispatcher.targets['t1'].estimate.probability < 0.2
+    assert not dispatcher.pool.targets['t1'].in_flight
+    assert dispatcher.pool.targets['t1'].estimate.probability < 0.2
 
 
 def test_a_new_target_soon_gets_a_request(make_request):
@@ -258,7 +263,7 @@
     ]
     grant_count = sum(isinstance(reply, Grant) for reply in replies)
     assert 0 < grant_count <= 0.2 * 20 + 10
-    for ticket in list(dispatcher.in_flight):
+    for ticket in list(dispatcher.pool.in_flight):
         dispatcher.record_result(ticket, Result.ANSWERED, 0.1, 0.2)
     late = make_request(attempt=AttemptKind.REPEAT, idempotent=True)
     assert isinstance(dispatcher.request_slot(late, 10.2), Grant)
@@ -310,8 +315,8 @@
             crashing.ticket, Result.BROKEN, 0.1, now_s + 0.1
         )
         probe = make_request()
-        dispatcher._add_in_flight(
-            dispatcher.targets[grant.target], probe, now_s + 0.2, 0.5
+        dispatcher.pool.add_in_flight(
+            dispatcher.pool.targets[grant.target], probe, now_s + 0.2, 0.5
         )
         dispatcher.record_result(
             probe.ticket, Result.UNREACHED, 0.1, now_s + 0.3
@@ -402,7 +407,7 @@
 def test_a_risky_slot_is_granted_before_a_refusal(make_request):
     dispatcher = make_dispatcher('t1', slots=4)
     serve(dispatcher, make_request(), 0.0, 0.1, Result.ERRORED)
-    assert 0.5 < dispatcher.failure_risk(dispatcher.targets['t1'], 0.3) < 0.7
+    assert 0.5 < risk_of(dispatcher, 't1', 0.3) < 0.7
     dispatcher._mean_exchange_s = 0.5
     assert isinstance(
         dispatcher.request_slot(make_request(left_s=0.4), 0.3), Grant
@@ -416,8 +421,8 @@
     for sent_s in (0.0, 0.1, 0.2):
         hung = make_request()
         assert isinstance(dispatcher.request_slot(hung, sent_s), Grant)
-    for ticket in list(dispatcher.in_flight):
-        dispatcher.confirm_in_flight(ticket, 0.7)
+    for ticket in list(dispatcher.pool.in_flight):
+        dispatcher.pool.confirm(ticket, 0.7)
     dispatcher._mean_exchange_s = 0.5
     assert isinstance(
         dispatcher.request_slot(make_request(left_s=0.4), 0.7), Refusal
@@ -428,7 +433,7 @@
     """A healthy target may not answer a request that has little time left."""
     dispatcher = make_dispatcher('t1', slots=4)
     serve(dispatcher, make_request(), 0.0, 0.1, Result.OVERDUE)
-    assert dispatcher.failure_risk(dispatcher.targets['t1'], 0.2) < 0.2
+    assert risk_of(dispatcher, 't1', 0.2) < 0.2
 
 
 def test_an_entry_prefers_targets_that_it_is_connected_to(make_request):
@@ -460,7 +465,7 @@
             make_request(ticket=('cut', number), left_s=9.0), 0.0
         )
     dispatcher.drop_entry('cut')
-    assert dispatcher.failure_risk(dispatcher.targets['t1'], 3.0) < 0.5
+    assert risk_of(dispatcher, 't1', 3.0) < 0.5
 
 
 def test_a_request_that_its_entry_confirms_counts_by_its_age(make_request):
@@ -471,19 +476,17 @@
         current.request_slot(queued, 0.0)
         for step in range(1, 20):
             if confirms:
-                current.confirm_in_flight(queued.ticket, step * 0.2)
+                current.pool.confirm(queued.ticket, step * 0.2)
     [confirmed_request], [silent_request] = (
-        confirmed.in_flight.values(),
-        silent.in_flight.values(),
+        confirmed.pool.in_flight.values(),
+        silent.pool.in_flight.values(),
     )
     assert confirmed_request.unanswered_s(4.0) == 4.0
     assert (
         silent_request.unanswered_s(4.0)
         == silent_request.hedge_after_s + CONFIRM_SLACK_S
     )
-    assert confirmed.failure_risk(
-        confirmed.targets['t1'], 4.0
-    ) > silent.failure_risk(silent.targets['t1'], 4.0)
+    assert risk_of(confirmed, 't1', 4.0) > risk_of(silent, 't1', 4.0)
 
 
 def test_the_queue_is_limited_to_requests_that_can_be_in_time(make_request):
@@ -523,15 +526,15 @@
         target = dispatcher.request_slot(hung, now_s).target
         for step in range(1, 7):
             other = make_request()
-            dispatcher._add_in_flight(
-                dispatcher.targets[target], other, now_s + step / 4, 0.5
+            dispatcher.pool.add_in_flight(
+                dispatcher.pool.targets[target], other, now_s + step / 4, 0.5
             )
             result = Result.ANSWERED if answers_after else Result.OVERDUE
             ended_s = now_s + step / 4 + 0.1
             dispatcher.record_result(other.ticket, result, 0.1, ended_s)
         dispatcher.record_result(hung.ticket, Result.OVERDUE, 3.0, now_s + 3.0)
         now_s += 20.0
-    return dispatcher.latency_models['r'].hang_share
+    return dispatcher.pool.latency_models['r'].hang_share
 
 
 def test_isolated_hangs_count_for_the_route_not_the_target(make_request):
--- a/tests/gateway/test_dispatchers.py
+++ b/tests/gateway/test_dispatchers.py
@@ -38,9 +38,9 @@
         return serve_queue(now_s)
 
     dispatcher.serve_queue = count_and_serve
-    target = next(iter(dispatcher.targets.values()))
+    target = next(iter(dispatcher.pool.targets.values()))
     for ticket in tickets:
-        dispatcher._add_in_flight(
+        dispatcher.pool.add_in_flight(
             target, slot_request(ticket), node.now_s(), 0.5
         )
         dispatchers.post(
@@ -53,5 +53,5 @@
         )
     await sleep(0)
     await sleep(0)
-    assert not dispatcher.in_flight
+    assert not dispatcher.pool.in_flight
     assert len(passes) == 1
--- a/tests/gateway/test_exchanges.py
+++ b/tests/gateway/test_exchanges.py
@@ -230,7 +230,7 @@
     dispatcher = node.find('dispatchers').dispatcher('stock')
     request_slot, confirm = (
         dispatcher.request_slot,
-        dispatcher.confirm_in_flight,
+        dispatcher.pool.confirm,
     )
     queued_kinds, confirmations = [], []
 
@@ -244,7 +244,7 @@
         confirmations.append((ticket, len(queued_kinds)))
         confirm(ticket, now_s)
 
-    dispatcher.request_slot, dispatcher.confirm_in_flight = (
+    dispatcher.request_slot, dispatcher.pool.confirm = (
         record_queued,
         record_confirmation,
     )
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -131,7 +131,7 @@
 
 async def test_a_home_that_fails_is_replaced_during_a_request(fleet):
     home, second_home, entry = await start_three_ranked_nodes(fleet)
-    assert home.find('dispatchers').dispatchers['stock'].targets
+    assert home.find('dispatchers').dispatchers['stock'].pool.targets
     await home.find('fleet_rpc').stop()
     assert (await fetch(entry, '/read/2')).status == 200
     assert 'stock' in second_home.find('dispatchers').dispatchers
