--- a/carawaylane/decisions/shared_retry_budget.py
+++ b/carawaylane/decisions/shared_retry_budget.py
@@ -49,7 +49,7 @@
 
 
 @define(kw_only=True)
-class _Sum:
+class _AttemptSum:
     """Sum of the counts of entries.
 
     The first attempts of an entry that does not report again leave the window
@@ -91,11 +91,11 @@
     members: int = 1
     # By entry, the oldest report first.
     _reports: dict[str, _EntryReport] = Factory(dict)
-    _total: _Sum = Factory(
-        lambda self: _Sum(window_s=self.window_s), takes_self=True
+    _total: _AttemptSum = Factory(
+        lambda self: _AttemptSum(window_s=self.window_s), takes_self=True
     )
-    _at_home: _Sum = Factory(
-        lambda self: _Sum(window_s=self.window_s), takes_self=True
+    _at_home: _AttemptSum = Factory(
+        lambda self: _AttemptSum(window_s=self.window_s), takes_self=True
     )
 
     def record_report(
@@ -140,7 +140,7 @@
         return self._usage(self._at_home, share, now_s)
 
     def _usage(
-        self, attempts: _Sum, slack_share: float, now_s: float
+        self, attempts: _AttemptSum, slack_share: float, now_s: float
     ) -> RetryUsage:
         first_attempts = attempts.first_attempts(now_s)
         return RetryUsage(
--- a/carawaylane/gateway/directory.py
+++ b/carawaylane/gateway/directory.py
@@ -250,13 +250,7 @@
             self.members.pop(item.name, None)
             if member is not None:
                 self._log_invalid(member)
-        emit(
-            MEMBERS_MOVED,
-            members=len(self.members),
-            revision=revision_in_era(
-                self.replicas[ObjectKind.MEMBERS].revision
-            ),
-        )
+        self._log_members()
 
     def _remove_member_if_lapsed(self, name: str) -> None:
         """Remove a member that has not registered again since it lapsed."""
@@ -264,6 +258,16 @@
         if current is None or current.data is None:
             self.members.pop(name, None)
             self._ranked_names.clear()
+            self._log_members()
+
+    def _log_members(self) -> None:
+        emit(
+            MEMBERS_MOVED,
+            members=len(self.members),
+            revision=revision_in_era(
+                self.replicas[ObjectKind.MEMBERS].revision
+            ),
+        )
 
     def _log_invalid(self, invalid: InvalidObject) -> None:
         emit(ENTRY_UNREADABLE, entry=invalid.name, reason=invalid.reason)
