Replica: a full list ends what is known of earlier removals

A node kept a target that no longer exists, if it had heard of it and the peer that it asked had not: it would go on sending requests there. Cause: a full list removes the objects that a copy has and the list lacks. What came and went unseen before the list leaves no tombstone, yet the copy passed as complete from its first list on. Change: after a full list the copy is complete from the list's revision; peers that are older get all objects.

--- a/carawaylane/decisions/replica.py
+++ b/carawaylane/decisions/replica.py
@@ -113,8 +113,8 @@
             )
             self._removed_at_s[name] = now_s
             changed.append(name)
-        if not self.revision:
-            self.complete_from = delta.revision
+        # Objects may have come and gone unseen before the list.
+        self.complete_from = delta.revision
         return changed
 
     def _drop_old_tombstones(self, now_s: float) -> None:
