Replica: keep removals of objects that the copy never had

What callers saw: nothing yet; found by reading beside the case before. A peer kept a target that no longer exists if the node that it asked had heard of the removal, but never of the object. Cause: a removal was recorded only if the copy had the object, and not again if it was removed before, so the copy could not pass it on. Result: both new tests fail before and pass after.

--- a/carawaylane/decisions/replica.py
+++ b/carawaylane/decisions/replica.py
@@ -88,14 +88,14 @@
         current = self.items.get(item.name)
         if current is not None and current.revision >= item.revision:
             return False
+        self.items[item.name] = item
+        # Peers may know an object that this copy has never had.
         if item.data is None:
-            if current is None or current.data is None:
-                return False
             self._removed_at_s[item.name] = now_s
         else:
             self._removed_at_s.pop(item.name, None)
-        self.items[item.name] = item
-        return current is None or current.data != item.data
+        data_before = current.data if current is not None else None
+        return data_before != item.data
 
     def _remove_unlisted(self, delta: ObjectDelta, now_s: float) -> list[str]:
         """Remove the objects that a full list lacks.
--- a/tests/decisions/test_replica.py
+++ b/tests/decisions/test_replica.py
@@ -137,6 +137,30 @@
     assert [item.name for item in peer.existing()] == ['a']
 
 
+def test_a_removal_of_an_unknown_object_reaches_a_peer_that_knows_it():
+    """The copy got the removal from a peer, without the object."""
+    replica, peer = ObjectReplica(), ObjectReplica()
+    replica.apply(ObjectDelta(items=(), revision=1), 0.0)
+    peer.apply(ObjectDelta(items=(item('b', 2),), revision=2), 0.0)
+    removal = ObjectDelta(items=(item('b', 3, None),), revision=3, base=1)
+    assert replica.apply(removal, 1.0) == []
+    peer.apply(replica.changes_since(peer.revision), 2.0)
+    assert not list(peer.existing())
+
+
+def test_the_latest_removal_of_an_object_reaches_a_peer():
+    replica, peer = ObjectReplica(), ObjectReplica()
+    replica.apply(ObjectDelta(items=(item('b', 1),), revision=1), 0.0)
+    peer.apply(ObjectDelta(items=(item('b', 4),), revision=4), 0.0)
+    for revision, base in ((3, 1), (5, 3)):
+        removal = ObjectDelta(
+            items=(item('b', revision, None),), revision=revision, base=base
+        )
+        replica.apply(removal, float(revision))
+    peer.apply(replica.changes_since(peer.revision), 6.0)
+    assert not list(peer.existing())
+
+
 CHANGE = st.tuples(st.sampled_from('abc'), st.booleans())
 
 
