Adapter: only the last event of an object in an answer counts

A target whose registration lapsed and came back between two answers of the watch stayed unknown until its entry changed again: healthy capacity lost. Cause: a deletion gets the revision of the page, as its event bears that of the last change; the new registration in the same page has a lower one and was passed over. Result: the new test of a node fails before (KeyError i-1) and passes after.

--- a/carawaylane/platform/objects.py
+++ b/carawaylane/platform/objects.py
@@ -196,18 +196,20 @@
 
 
 def _parse_events(page: dict[str, Any], era: int) -> list[StoredObject]:
-    items = []
+    """Return the last state of each object that changed."""
+    items: dict[str, StoredObject] = {}
     for event in page['events']:
         item = _parse_item(event.get('object'), era)
         if item is not None and event.get('deleted'):
             # The object of a deletion event has the revision of its last
-            # change, so the deletion gets the revision of the page.
+            # change, so the deletion gets the revision of the page. It would
+            # hide a later event of the same object.
             item = evolve(
                 item, data=None, revision=combine(era, page['current_rev'])
             )
         if item is not None:
-            items.append(item)
-    return items
+            items[item.name] = item
+    return list(items.values())
 
 
 def _parse_item(raw_item: Any, era: int) -> StoredObject | None:
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -93,6 +93,23 @@
     await fleet.wait_until(lambda: len(directory.targets) == 119)
 
 
+async def test_a_target_that_lapses_and_registers_again_at_once_is_kept(
+    fleet,
+):
+    """Both changes are in one answer to the watch."""
+    fleet.store.put('config', 'main', plan_spec())
+    node = await fleet.start_node('n1')
+    await fleet.start_target('i-1')
+    directory = node.find('directory')
+    await fleet.wait_until(lambda: 'i-1' in directory.targets)
+    spec = fleet.store.objects['servers']['i-1']['spec']
+    fleet.store.remove('servers', 'i-1')
+    fleet.store.put('servers', 'i-1', spec | {'slots': 7})
+    fleet.register_target('i-2', 9)
+    await fleet.wait_until(lambda: 'i-2' in directory.targets)
+    assert directory.targets['i-1'].slots == 7
+
+
 async def test_invalid_objects_do_not_affect_valid_ones(fleet):
     fleet.store.put('config', 'main', plan_spec())
     for number, spec in enumerate(
