Retry budget: a granted retry counts for the whole window

Cause: a grant kept the time of the entry's report but moved it to the end of the reports, so the report was dropped late, with its first attempts below zero meanwhile; had it been dropped in time, the retry would have gone with it. Change: a report is dropped in its order, and retries granted since stay until they are a window old.

--- a/carawaylane/decisions/shared_retry_budget.py
+++ b/carawaylane/decisions/shared_retry_budget.py
@@ -115,9 +115,13 @@
 
     def record_retry(self, entry: str, now_s: float) -> None:
         """Count a retry that is granted to an entry."""
-        entry_report = self._remove(entry) or _EntryReport(at_s=now_s)
+        entry_report = self._reports.get(entry)
+        if entry_report is None:
+            entry_report = _EntryReport(at_s=now_s)
+            self._add(entry, entry_report)
+        self._add_to_sums(entry_report, -1)
         entry_report.granted_at_s.append(now_s)
-        self._add(entry, entry_report)
+        self._add_to_sums(entry_report, 1)
 
     def allows_retry(self, now_s: float) -> bool:
         """Return whether one more retry is within both limits."""
@@ -152,12 +156,26 @@
 
     def _share_of_entries(self, now_s: float) -> float:
         """Return the share of the members that asked within the window."""
+        self._expire_reports(now_s - self.window_s)
+        return min(1.0, len(self._reports) / max(1, self.members))
+
+    def _expire_reports(self, since_s: float) -> None:
+        """Drop older reports, but not the retries granted since."""
         while self._reports:
             entry, oldest = next(iter(self._reports.items()))
-            if oldest.at_s > now_s - self.window_s:
-                break
+            if oldest.at_s > since_s:
+                return
             self._remove(entry)
-        return min(1.0, len(self._reports) / max(1, self.members))
+            granted_at_s = [
+                at_s for at_s in oldest.granted_at_s if at_s > since_s
+            ]
+            if granted_at_s:
+                self._add(
+                    entry,
+                    _EntryReport(
+                        at_s=granted_at_s[-1], granted_at_s=granted_at_s
+                    ),
+                )
 
     def _add(self, entry: str, entry_report: _EntryReport) -> None:
         self._reports[entry] = entry_report
--- a/tests/decisions/test_shared_retry_budget.py
+++ b/tests/decisions/test_shared_retry_budget.py
@@ -65,6 +65,18 @@
     assert budget.total_usage(2 * REPORT_LAG_S).retries == 1
 
 
+def test_a_grant_counts_for_the_whole_window_without_another_report():
+    budget = make_budget()
+    budget.record_report('a', report(10, 1), 0.0)
+    budget.record_report('b', report(10), 5.0)
+    budget.record_retry('a', 6.0)
+    usage = budget.total_usage(WINDOW_S + 1.0)
+    assert usage.retries == 1
+    # Half of b's first attempts are left, and none of a's.
+    assert usage.first_attempts == pytest.approx(4)
+    assert budget.total_usage(WINDOW_S + 6.0).retries == 0
+
+
 def test_a_home_that_few_entries_ask_has_a_small_part_of_the_constant():
     budget = make_budget(members=len(ENTRIES))
     budget.record_report('e0', report(0), 0.0)
