Log rate limits that targets name

Cause: logs could not tell which nodes know of a limit that a target named, nor who decided on the requests that they still send there. Change: the adapter decodes the limit in an answer (a value that is no number is logged and changes nothing). The entry logs a limit that is named, changed or lifted (rate-limit), and each request that it sends to a target after that (limited-send, with the home and the kind of attempt); the counter limited_sends_total counts them by kind. No decision changed.

--- a/carawaylane/gateway/dispatch.py
+++ b/carawaylane/gateway/dispatch.py
@@ -13,6 +13,7 @@
 from attrs import Factory, define, evolve, frozen
 
 from carawaylane.decisions.failure_estimate import Result
+from carawaylane.decisions.rate_limits import HeardRateLimits
 from carawaylane.decisions.retry_window import RetryWindow
 from carawaylane.gateway.dispatchers import (
     ReportResult,
@@ -29,18 +30,26 @@
     SlotReply,
     SlotRequest,
 )
+from carawaylane.messages.outcomes import InvalidRateLimit
 from carawaylane.rpc.fleet_codec import (
     pack_result,
     pack_slot_request,
     pack_still_waiting,
 )
 from carawaylane.rpc.fleet_pb2 import Call
-from carawaylane.telemetry.events import HOME_SILENT, emit
+from carawaylane.telemetry.events import (
+    HOME_SILENT,
+    LIMITED_SEND,
+    RATE_LIMIT,
+    RATE_LIMIT_INVALID,
+    emit,
+)
 
 if TYPE_CHECKING:
     from carawaylane.gateway.dispatchers import Dispatchers
     from carawaylane.kernel.kernel import Kernel
     from carawaylane.messages.dispatch import Ticket
+    from carawaylane.messages.outcomes import RateLimit
 
 # A home grants, queues or refuses a request at once. A round trip takes a few
 # milliseconds, and some tens of milliseconds if the node is busy.
@@ -61,6 +70,8 @@
 class Home(Protocol):
     """Interface to a home, which is this node or another one."""
 
+    member: str
+
     def request_slot(self, service_name: str, request: SlotRequest) -> None:
         """Request a slot on a target of a service."""
 
@@ -83,6 +94,7 @@
     def __init__(
         self, *, dispatchers: Dispatchers, slot_client: SlotClient
     ) -> None:
+        self.member = slot_client.kernel.cfg.name
         self._dispatchers = dispatchers
         self._slot_client = slot_client
 
@@ -174,6 +186,7 @@
     grant: Grant
     home: Home
     service: str
+    attempt: AttemptKind
 
 
 @define(kw_only=True)
@@ -210,10 +223,12 @@
         self._last_ticket_number = 0
         # By service: the attempts of this entry.
         self._recent_attempts: dict[str, RetryWindow] = {}
+        self._rate_limits = HeardRateLimits()
 
     async def start(self) -> None:
         """Look up the other services."""
         self._directory = self.kernel.find('directory')
+        self._metrics = self.kernel.find('telemetry').metrics
         self._local_home = _LocalHome(
             dispatchers=self.kernel.find('dispatchers'), slot_client=self
         )
@@ -248,11 +263,45 @@
                 return reply
             if request.attempt.is_retry:
                 window.record_retry(member, now_s)
-            return GrantedSlot(grant=reply, home=home, service=service_name)
+            return GrantedSlot(
+                grant=reply,
+                home=home,
+                service=service_name,
+                attempt=request.attempt,
+            )
         return Refusal(
             ticket=request.ticket, retry_after_s=0.1, reason='no home in time'
         )
 
+    def record_rate_limit(
+        self, target: str, rate_limit: RateLimit, sent_at_s: float
+    ) -> None:
+        """Record what an answer said of the limit of its target."""
+        if isinstance(rate_limit, InvalidRateLimit):
+            emit(RATE_LIMIT_INVALID, target=target, limit=rate_limit.text)
+            return
+        now_s = self.kernel.now_s()
+        before = self._rate_limits.rate_of(target, now_s)
+        self._rate_limits.record_answer(target, rate_limit, sent_at_s, now_s)
+        limit = self._rate_limits.rate_of(target, now_s)
+        if limit != before:
+            emit(RATE_LIMIT, target=target, per_s=limit, before=before)
+
+    def log_limited_send(self, slot: GrantedSlot, request_id: str) -> None:
+        """Log a request to a target that has named a limit."""
+        target = slot.grant.target
+        limit = self._rate_limits.rate_of(target, self.kernel.now_s())
+        if limit is not None:
+            self._metrics.count('limited_sends', turn=slot.attempt.name)
+            emit(
+                LIMITED_SEND,
+                request=request_id,
+                target=target,
+                per_s=limit,
+                home=slot.home.member,
+                turn=slot.attempt.name,
+            )
+
     def _attempt_window(self, service_name: str) -> RetryWindow:
         window = self._recent_attempts.get(service_name)
         if window is None:
--- a/carawaylane/gateway/exchanges.py
+++ b/carawaylane/gateway/exchanges.py
@@ -238,6 +238,7 @@
             leaving=False,
             deadline_passed=False,
             misdirected=headers.misdirected,
+            rate_limit=headers.rate_limit,
         )
     # Targets echo the request id and don't encode their answers, so another
     # answer was not sent by the target.
@@ -246,7 +247,10 @@
             reason='not an answer of the target', mismatched=True
         )
     return CompleteAnswer(
-        status=message.code, headers=_forwarded_headers(message), body=body
+        status=message.code,
+        headers=_forwarded_headers(message),
+        body=body,
+        rate_limit=headers.rate_limit,
     )
 
 
--- a/carawaylane/gateway/forwarding.py
+++ b/carawaylane/gateway/forwarding.py
@@ -227,6 +227,7 @@
             )
         )
         state.tried_targets.add(grant.target)
+        self._slot_client.log_limited_send(slot, routed.request.request_id)
         state.targets_reached += 1
         state.hedge_at_s = float('inf')
         if (
@@ -291,6 +292,12 @@
         """
         exchange_result = attempt.task.result()
         result = _result_of(exchange_result)
+        if isinstance(exchange_result, CompleteAnswer | RefusedByTarget):
+            self._slot_client.record_rate_limit(
+                attempt.slot.grant.target,
+                exchange_result.rate_limit,
+                attempt.started_at_s,
+            )
         self._report_result(attempt, result)
         self._log_failure(state, attempt, exchange_result, result)
         match exchange_result:
--- a/carawaylane/messages/outcomes.py
+++ b/carawaylane/messages/outcomes.py
@@ -7,6 +7,18 @@
 Headers = tuple[tuple[str, str], ...]
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class InvalidRateLimit:
+    """A rate limit in an answer that is not a number of at least 0."""
+
+    text: str
+
+
+# Requests per second that a target takes from all nodes together, as an answer
+# names it; None if the answer names no limit.
+RateLimit = float | InvalidRateLimit | None
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Answered:
     """A target answered the request completely."""
--- a/carawaylane/platform/headers.py
+++ b/carawaylane/platform/headers.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from math import isfinite
 from typing import TYPE_CHECKING
 
 from attrs import frozen
 
+from carawaylane.messages.outcomes import InvalidRateLimit, RateLimit
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -16,6 +19,8 @@
 TARGET_HEADER = 'Target-Instance'
 NOT_RUN_HEADER = 'Not-Executed'
 RETRY_AFTER_HEADER = 'Retry-After'
+# Requests per second that the target takes from all nodes together.
+RATE_LIMIT_HEADER = 'Server-Limit'
 # Misdirected Request: another target now has the address.
 MISDIRECTED_STATUS = 421
 
@@ -34,12 +39,14 @@
     """Values of the platform's headers in a target's answer.
 
     `not_run` means that the target did not run the request. If it is
-    `misdirected`, another target now has the address.
+    `misdirected`, another target now has the address. `rate_limit` is
+    what the answer says of the requests that the target takes.
     """
 
     request_id: str
     not_run: bool
     misdirected: bool
+    rate_limit: RateLimit
 
 
 def request_id_of(headers: Mapping[str, str]) -> str:
@@ -73,9 +80,22 @@
         request_id=headers.get(REQUEST_ID_HEADER, ''),
         not_run=NOT_RUN_HEADER in headers or status == MISDIRECTED_STATUS,
         misdirected=status == MISDIRECTED_STATUS,
+        rate_limit=_read_rate_limit(headers.get(RATE_LIMIT_HEADER)),
     )
 
 
+def _read_rate_limit(text: str | None) -> RateLimit:
+    if text is None:
+        return None
+    try:
+        rate_limit_per_s = float(text)
+    except ValueError:
+        return InvalidRateLimit(text=text)
+    if not isfinite(rate_limit_per_s) or rate_limit_per_s < 0:
+        return InvalidRateLimit(text=text)
+    return rate_limit_per_s
+
+
 def target_request_headers(
     time_left_s: float, target: str
 ) -> list[tuple[str, str]]:
--- a/carawaylane/services/targets.py
+++ b/carawaylane/services/targets.py
@@ -25,7 +25,7 @@
     from collections.abc import AsyncIterator
 
     from carawaylane.messages.exchange import Request
-    from carawaylane.messages.outcomes import Headers
+    from carawaylane.messages.outcomes import Headers, RateLimit
 
 CONNECT_TIMEOUT_S = 0.5
 LIVENESS_CONNECT_TIMEOUT_S = 0.3
@@ -62,6 +62,7 @@
     status: int
     headers: Headers
     body: bytes
+    rate_limit: RateLimit = None
 
 
 @dataclass(kw_only=True, slots=True)
@@ -97,6 +98,7 @@
     leaving: bool
     deadline_passed: bool
     misdirected: bool = False
+    rate_limit: RateLimit = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/carawaylane/telemetry/events.py
+++ b/carawaylane/telemetry/events.py
@@ -218,6 +218,24 @@
     _INFO,
     'How many retries a home has granted in the window of the budget.',
 )
+RATE_LIMIT = _declare_event(
+    608,
+    'rate-limit',
+    _WARN,
+    'A target named, changed or lifted a limit on its requests.',
+)
+RATE_LIMIT_INVALID = _declare_event(
+    609,
+    'rate-limit-invalid',
+    _WARN,
+    'A limit that a target named is no number; the last one stays.',
+)
+LIMITED_SEND = _declare_event(
+    610,
+    'limited-send',
+    _INFO,
+    'An entry sends a request to a target that has named a limit to it.',
+)
 
 
 class JsonFormatter(std_logging.Formatter):
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from carawaylane.messages.outcomes import Problem
+from carawaylane.messages.outcomes import InvalidRateLimit, Problem
 from carawaylane.messages.platform_objects import (
     InvalidObject,
     Member,
@@ -189,3 +189,25 @@
     assert read_response_headers(503, {'Not-Executed': '1'}).not_run
     assert read_response_headers(421, {}).not_run
     assert not read_response_headers(503, {}).not_run
+
+
+@pytest.mark.parametrize(
+    ('text', 'limit'),
+    [
+        ('2', 2.0),
+        (' 0.75 ', 0.75),
+        ('0', 0.0),
+        ('', InvalidRateLimit(text='')),
+        ('two', InvalidRateLimit(text='two')),
+        ('-1', InvalidRateLimit(text='-1')),
+        ('nan', InvalidRateLimit(text='nan')),
+        ('inf', InvalidRateLimit(text='inf')),
+    ],
+)
+def test_the_rate_limit_in_an_answer_is_read_and_checked(text, limit):
+    headers = read_response_headers(200, {'Server-Limit': text})
+    assert headers.rate_limit == limit
+
+
+def test_an_answer_without_a_rate_limit_names_none():
+    assert read_response_headers(200, {}).rate_limit is None
