Failing tests: targets get more requests than the limit that they name

What callers saw: nothing; targets that named a limit of 2 requests a second got 194 (one home), 198 (each of three nodes a home) and 20 (all answers shed) in 4 s, 17 are allowed. The stand-in names the limit in each answer.

--- a/standins/raw_target.py
+++ b/standins/raw_target.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from socket import SO_LINGER, SOL_SOCKET
 from struct import pack
+from time import monotonic
 
 from attrs import Factory, define
 
@@ -41,13 +42,16 @@
 
     It records the bytes of each request. `aborted_requests` counts requests
     that hung until the client closed the connection; `close` stops
-    listening; whoever starts the server sets it.
+    listening; whoever starts the server sets it. Each answer names
+    `rate_limit_per_s`, if it is set.
     """
 
     plan: Callable[[int, bytes], Reply] = lambda _number, _data: Reply()
     requests: list[bytes] = Factory(list)
+    arrival_times_s: list[float] = Factory(list)
     connections: int = 0
     aborted_requests: int = 0
+    rate_limit_per_s: float | None = None
     close: Callable[[], None] = lambda: None
 
     async def serve(self, reader: StreamReader, writer: StreamWriter) -> None:
@@ -57,6 +61,7 @@
             while True:
                 data = await _read_request(reader)
                 self.requests.append(data)
+                self.arrival_times_s.append(monotonic())
                 reply = self.plan(len(self.requests), data)
                 if not await self._answer(reply, data, reader, writer):
                     return
@@ -77,9 +82,11 @@
             self.aborted_requests += 1
             return False
         await sleep(reply.delay_s)
-        writer.write(
-            reply.data.replace(REQUEST_ID_PLACEHOLDER, _request_id(data))
-        )
+        answer = reply.data.replace(REQUEST_ID_PLACEHOLDER, _request_id(data))
+        if self.rate_limit_per_s is not None:
+            header = f'\r\nServer-Limit: {self.rate_limit_per_s}\r\n'
+            answer = answer.replace(b'\r\n', header.encode(), 1)
+        writer.write(answer)
         if reply.connection_end == 'reset':
             # Lets the client read the answer; a reset discards what it has not
             # read yet.
--- /dev/null
+++ b/tests/gateway/test_rate_limits.py
@@ -0,0 +1,106 @@
+"""Tests of targets that name a rate limit for the requests of all nodes."""
+
+from asyncio import gather, sleep
+from time import monotonic
+
+import pytest
+
+from carawaylane.gateway.dispatch import _Avoidance
+from standins.raw_target import OK, Reply
+from tests.gateway.conftest import fetch, plan_spec
+
+LIMIT_PER_S = 2.0
+# The operators' bound: in any window of 4 s, from 3 s after a target first
+# named its limit, one and a half times the limit and 5 requests more.
+WINDOW_S, LIMIT_FACTOR, LIMIT_SLACK, NOTICE_S = 4.0, 1.5, 5, 3.0
+ALLOWED_IN_WINDOW = LIMIT_FACTOR * LIMIT_PER_S * WINDOW_S + LIMIT_SLACK
+LOAD_S = NOTICE_S + WINDOW_S + 1.0
+PAUSE_S = 0.05
+SHED = (
+    b'HTTP/1.1 503 Service Unavailable\r\nRequest-Id: @ID@\r\n'
+    b'Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+)
+
+
+def most_in_a_window(times_s):
+    return max(
+        sum(start_s <= at_s < start_s + WINDOW_S for at_s in times_s)
+        for start_s in times_s
+    )
+
+
+async def start_nodes(fleet, count=3):
+    fleet.store.put('config', 'main', plan_spec())
+    nodes = await gather(
+        *(fleet.start_node(f'n{number}') for number in range(count))
+    )
+    for node in nodes:
+        members = node.find('directory').members
+        await fleet.wait_until(lambda m=members: len(m) == count)
+    return nodes
+
+
+async def send_load(nodes, *, load_s=LOAD_S):
+    """Send requests to all nodes; return how many were sent and served."""
+
+    async def send_to(node, kind, method):
+        sent = served = 0
+        end_s = monotonic() + load_s
+        while monotonic() < end_s:
+            response = await fetch(node, f'/{kind}/x', method=method)
+            sent += 1
+            served += response.status == 200
+            await sleep(PAUSE_S)
+        return sent, served
+
+    counts = await gather(
+        *(
+            send_to(node, kind, method)
+            for node in nodes
+            for kind, method in (('read', 'GET'), ('write', 'POST'))
+        )
+    )
+    return tuple(map(sum, zip(*counts, strict=True)))
+
+
+def isolate_homes(nodes):
+    """Make each node its own home, as if no other one replied to it."""
+    for node in nodes:
+        node.find('dispatch')._avoided_homes = {
+            other.cfg.name: _Avoidance(until_s=float('inf'), duration_s=1.0)
+            for other in nodes
+            if other is not node
+        }
+
+
+def assert_within_limit(target, limited_from_s):
+    times_s = [
+        at_s
+        for at_s in target.arrival_times_s
+        if at_s >= limited_from_s + NOTICE_S
+    ]
+    assert times_s
+    assert most_in_a_window(times_s) <= ALLOWED_IN_WINDOW
+
+
+@pytest.mark.parametrize('homes', ['one home', 'each node a home'])
+@pytest.mark.parametrize('answer', [OK, SHED], ids=['served', 'shed'])
+async def test_all_nodes_together_keep_to_the_rate_limit_of_a_target(
+    fleet, homes, answer
+):
+    nodes = await start_nodes(fleet)
+    limited = await fleet.start_target(
+        'limited', lambda *_: Reply(data=answer), slots=4
+    )
+    await fleet.start_target('i-2', slots=4)
+    for node in nodes:
+        targets = node.find('directory').targets
+        await fleet.wait_until(lambda t=targets: len(t) == 2)
+    if homes == 'each node a home':
+        isolate_homes(nodes)
+    limited.rate_limit_per_s = LIMIT_PER_S
+    started_at_s = monotonic()
+    sent, served = await send_load(nodes)
+    assert_within_limit(limited, started_at_s)
+    # The other target has room for nearly all requests.
+    assert served >= 0.9 * sent
