Keep to the rate limits that targets name

Cause: no code read the limit. Class: a bound of the whole fleet that no common count keeps; reading it at each node alone would have let each home and each entry that decides for itself send the whole limit. Evidence: the rate at the two targets is the same before and after they named their limits; all grants in the logs are first attempts of one home. Change: entries pass on what answers say, with each result and once a second with a slot request, so that a successor knows it, too. A home grants within a token bucket for each limited target, whatever the kind of attempt, filled at the home's share of the service's requests (the share that the retry budget already keeps; the shares of all homes add up to at most 1). A target without tokens is not a choice, and counts as the slots that its limit keeps busy, so waits stay true. The limit stays with the id of a target over a restart or a lapse. Only an answer to a request that was sent after the limit was named lifts it.

--- a/bench/dispatch_sim.py
+++ b/bench/dispatch_sim.py
@@ -223,7 +223,9 @@
         self._attempts: list[tuple[float, str]] = []
         # Arrival of each request, and whether it got no answer.
         self._outcomes: list[tuple[float, bool]] = []
-        self.dispatcher = dispatcher_class(service='s', bounds=Bounds())
+        self.dispatcher = dispatcher_class(
+            service='s', bounds=Bounds(), rng=Random(seed)
+        )
         self.dispatcher.retry_budget.members = load.entries
         names = [f't{number}' for number in range(load.targets)]
         self._targets = {
--- a/bench/gateway_slopes.py
+++ b/bench/gateway_slopes.py
@@ -62,7 +62,7 @@
 
     Requests are in flight in half of the slots.
     """
-    dispatcher = Dispatcher(service='s', bounds=Bounds())
+    dispatcher = Dispatcher(service='s', bounds=Bounds(), rng=Random(1))
     dispatcher.update_targets(
         [
             TargetSpec(
--- a/carawaylane/decisions/dispatcher.py
+++ b/carawaylane/decisions/dispatcher.py
@@ -19,6 +19,7 @@
     Result,
 )
 from carawaylane.decisions.quarantine import Quarantine
+from carawaylane.decisions.rate_limits import SharedRateLimits
 from carawaylane.decisions.shared_retry_budget import (
     RetryUsage,
     SharedRetryBudget,
@@ -36,6 +37,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from random import Random
 
     from carawaylane.decisions.target_state import (
         InFlightRequest,
@@ -108,19 +110,25 @@
     targets and the requests in flight at them.
     """
 
-    def __init__(self, *, service: str, bounds: Bounds) -> None:
+    def __init__(self, *, service: str, bounds: Bounds, rng: Random) -> None:
         self.service = service
-        self.pool = TargetPool(floor_share=bounds.floor_share)
         self.quarantine = Quarantine(max_victims=MAX_VICTIMS)
         self._queue: list[_QueuedRequest] = []
         self._mean_exchange_s = INITIAL_EXCHANGE_S
         # Slots that can serve the queue, cached for one point in time.
-        self._usable_slots, self._usable_slots_at_s = 1, float('-inf')
+        self._usable_slots = 1.0
+        self._usable_slots_at_s = float('-inf')
         self.retry_budget = SharedRetryBudget(
             window_s=bounds.retry_window_s,
             ratio=bounds.retry_ratio,
             slack=bounds.retry_slack,
         )
+        self.pool = TargetPool(
+            floor_share=bounds.floor_share,
+            rate_limits=SharedRateLimits(
+                share_at=self.retry_budget.home_share, rng=rng
+            ),
+        )
 
     def update_targets(
         self, specs: Iterable[TargetSpec], now_s: float
@@ -135,6 +143,8 @@
         self.retry_budget.record_report(
             request.entry, request.recent_attempts, now_s
         )
+        for notice in request.rate_limits:
+            self.pool.apply_rate_limit(notice, now_s)
         refusal = self._immediate_refusal(request, now_s)
         if refusal is not None:
             return refusal
@@ -442,7 +452,7 @@
         """Return the expected wait behind a number of queued requests."""
         if self._usable_slots_at_s != now_s:
             self._usable_slots, self._usable_slots_at_s = (
-                self.pool.count_usable_slots(now_s),
+                self.pool.count_usable_slots(now_s, self._mean_exchange_s),
                 now_s,
             )
         return (ahead + 1) * self._mean_exchange_s / self._usable_slots
--- a/carawaylane/decisions/shared_retry_budget.py
+++ b/carawaylane/decisions/shared_retry_budget.py
@@ -137,11 +137,18 @@
 
     def home_usage(self, now_s: float) -> RetryUsage:
         """Return the attempts that this home decided on."""
+        return self._usage(self._at_home, self.home_share(now_s), now_s)
+
+    def home_share(self, now_s: float) -> float:
+        """Return the share of the attempts that this home decided on.
+
+        The shares of all homes add up to at most 1.
+        """
         share = self._share_of_entries(now_s)
         total = self._total.first_attempts(now_s)
         if total > 0:
             share *= self._at_home.first_attempts(now_s) / total
-        return self._usage(self._at_home, share, now_s)
+        return share
 
     def _usage(
         self, attempts: _AttemptSum, slack_share: float, now_s: float
--- a/carawaylane/decisions/target_pool.py
+++ b/carawaylane/decisions/target_pool.py
@@ -21,7 +21,12 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from carawaylane.messages.dispatch import SlotRequest, Ticket
+    from carawaylane.decisions.rate_limits import SharedRateLimits
+    from carawaylane.messages.dispatch import (
+        RateLimitNotice,
+        SlotRequest,
+        Ticket,
+    )
     from carawaylane.messages.platform_objects import TargetSpec
 
 # Costs of choosing a target, in units of a lost request. COST_BUSY is
@@ -59,12 +64,15 @@
 class TargetPool:
     """The targets of one service and the requests in flight at them."""
 
-    def __init__(self, *, floor_share: float) -> None:
+    def __init__(
+        self, *, floor_share: float, rate_limits: SharedRateLimits
+    ) -> None:
         self.targets: dict[str, TargetState] = {}
         self.latency_models: dict[str, LatencyModel] = {}
         # The oldest request first, here and at each target.
         self.in_flight: dict[Ticket, InFlightRequest] = {}
         self.floor = UsageFloor(share=floor_share)
+        self.rate_limits = rate_limits
         self._in_flight_by_entry: dict[str, dict[Ticket, InFlightRequest]] = (
             defaultdict(dict)
         )
@@ -77,6 +85,7 @@
         spec_by_name = {spec.name: spec for spec in specs}
         for name in set(self.targets) - set(spec_by_name):
             del self.targets[name]
+        self.rate_limits.forget_old(spec_by_name, now_s)
         for name, spec in spec_by_name.items():
             target = self.targets.get(name)
             if target is None or target.spec.started_ms != spec.started_ms:
@@ -111,10 +120,16 @@
             observation=target.estimate.record_sent(now_s),
         )
         self._free = None
+        self.rate_limits.record_sent(target.spec.name, now_s)
         target.in_flight[request.ticket] = granted
         self.in_flight[request.ticket] = granted
         self._in_flight_by_entry[request.entry][request.ticket] = granted
 
+    def apply_rate_limit(self, notice: RateLimitNotice, now_s: float) -> None:
+        """Take over what an entry heard of the limit of a target."""
+        self._free = None
+        self.rate_limits.apply(notice, now_s)
+
     def confirm(self, ticket: Ticket, now_s: float) -> None:
         """Record that an entry still waits for the answer of a target."""
         granted = self.in_flight.get(ticket)
@@ -171,16 +186,26 @@
             for target in self.targets.values()
         )
 
-    def count_usable_slots(self, now_s: float) -> int:
-        """Return how many slots can serve the queue, at least 1."""
-        slots = 0
+    def count_usable_slots(
+        self, now_s: float, mean_exchange_s: float
+    ) -> float:
+        """Return how many slots can serve the queue, 1 if there is none.
+
+        A target with a rate limit counts as many slots as the limit keeps
+        busy.
+        """
+        slots = 0.0
         for target in self.targets.values():
             if not target.is_open():
                 continue
             stuck = self._count_stuck(target.in_flight, now_s)
             if self.failure_risk(target, now_s) < USABLE_RISK:
-                slots += max(0, target.spec.slots - stuck)
-        return max(1, slots)
+                slots += min(
+                    max(0, target.spec.slots - stuck),
+                    self.rate_limits.rate_of(target.spec.name, now_s)
+                    * mean_exchange_s,
+                )
+        return slots or 1.0
 
     def is_stuck(self, granted: InFlightRequest, now_s: float) -> bool:
         """Return whether a request is unanswered for an unusual time."""
@@ -226,7 +251,9 @@
             all_free = [
                 target
                 for target in self.targets.values()
-                if target.is_open() and target.has_free_slot()
+                if target.is_open()
+                and target.has_free_slot()
+                and self.rate_limits.allows(target.spec.name, now_s)
             ]
             due = self._names_due_for_floor(now_s)
             free = _FreeTargets(
@@ -248,6 +275,7 @@
             for target in self.targets.values()
             if target.is_open()
             and self.failure_risk(target, now_s) < risk_limit
+            and self.rate_limits.allows(target.spec.name, now_s)
         ]
         untried = {
             target.spec.name
--- a/carawaylane/gateway/dispatch.py
+++ b/carawaylane/gateway/dispatch.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from asyncio import Queue, timeout
+from collections import defaultdict
 from typing import TYPE_CHECKING, Protocol
 
 from attrs import Factory, define, evolve, frozen
@@ -26,6 +27,7 @@
     AttemptKind,
     Grant,
     Queued,
+    RateLimitNotice,
     Refusal,
     SlotReply,
     SlotRequest,
@@ -81,6 +83,7 @@
         ticket: Ticket,
         result: Result,
         duration_s: float,
+        rate_limit: RateLimitNotice | None = None,
     ) -> None:
         """Report how a granted request ended, or cancel a request."""
 
@@ -115,6 +118,7 @@
         ticket: Ticket,
         result: Result,
         duration_s: float,
+        rate_limit: RateLimitNotice | None = None,
     ) -> None:
         self._dispatchers.post(
             ReportResult(
@@ -122,6 +126,7 @@
                 ticket=ticket,
                 result=result,
                 duration_s=duration_s,
+                rate_limit=rate_limit,
             )
         )
 
@@ -150,10 +155,13 @@
         ticket: Ticket,
         result: Result,
         duration_s: float,
+        rate_limit: RateLimitNotice | None = None,
     ) -> None:
         self._service_by_ticket.pop(ticket, None)
         if self.stream is not None and self.stream.is_open:
-            msg = pack_result(ticket, service_name, result, duration_s)
+            msg = pack_result(
+                ticket, service_name, result, duration_s, rate_limit
+            )
             self.stream.send(Call(done=msg))
 
     def report_still_waiting(self, service_name: str, ticket: Ticket) -> None:
@@ -223,7 +231,10 @@
         self._last_ticket_number = 0
         # By service: the attempts of this entry.
         self._recent_attempts: dict[str, RetryWindow] = {}
-        self._rate_limits = HeardRateLimits()
+        # By service: the limits that its targets named to this entry.
+        self._rate_limits: dict[str, HeardRateLimits] = defaultdict(
+            HeardRateLimits
+        )
 
     async def start(self) -> None:
         """Look up the other services."""
@@ -249,6 +260,9 @@
             request = evolve(
                 request,
                 recent_attempts=window.report_to(member, self.kernel.now_s()),
+                rate_limits=self._rate_limits[service_name].report_to(
+                    member, self.kernel.now_s()
+                ),
             )
             reply = await self._request_slot_from(
                 home, service_name, request, deadline_s
@@ -274,23 +288,30 @@
         )
 
     def record_rate_limit(
-        self, target: str, rate_limit: RateLimit, sent_at_s: float
-    ) -> None:
-        """Record what an answer said of the limit of its target."""
+        self, slot: GrantedSlot, rate_limit: RateLimit, sent_at_s: float
+    ) -> RateLimitNotice | None:
+        """Record what an answer said of the limit of its target.
+
+        Returns the notice for the home, None if the limit is not valid.
+        """
+        target = slot.grant.target
         if isinstance(rate_limit, InvalidRateLimit):
             emit(RATE_LIMIT_INVALID, target=target, limit=rate_limit.text)
-            return
-        now_s = self.kernel.now_s()
-        before = self._rate_limits.rate_of(target, now_s)
-        self._rate_limits.record_answer(target, rate_limit, sent_at_s, now_s)
-        limit = self._rate_limits.rate_of(target, now_s)
+            return None
+        heard = self._rate_limits[slot.service]
+        before = heard.rate_of(target)
+        notice = heard.record_answer(
+            target, rate_limit, sent_at_s, self.kernel.now_s()
+        )
+        limit = heard.rate_of(target)
         if limit != before:
             emit(RATE_LIMIT, target=target, per_s=limit, before=before)
+        return notice
 
     def log_limited_send(self, slot: GrantedSlot, request_id: str) -> None:
         """Log a request to a target that has named a limit."""
         target = slot.grant.target
-        limit = self._rate_limits.rate_of(target, self.kernel.now_s())
+        limit = self._rate_limits[slot.service].rate_of(target)
         if limit is not None:
             self._metrics.count('limited_sends', turn=slot.attempt.name)
             emit(
--- a/carawaylane/gateway/dispatchers.py
+++ b/carawaylane/gateway/dispatchers.py
@@ -19,6 +19,7 @@
 from carawaylane.kernel.service import Actor, handles, service
 from carawaylane.messages.dispatch import (
     Grant,
+    RateLimitNotice,
     Refusal,
     SlotReply,
     SlotRequest,
@@ -26,6 +27,7 @@
 )
 from carawaylane.telemetry.events import (
     HOME_STARTED,
+    RATE_LIMIT_USAGE,
     REQUEST_GRANTED,
     REQUEST_QUEUED,
     REQUEST_REFUSED,
@@ -44,7 +46,7 @@
 # Dispatchers with an empty queue are run at this longer period, so that they
 # drop requests in flight whose entry will no longer report a result.
 IDLE_PERIOD_S = 0.5
-# Period at which a home logs its use of the retry budget of each service.
+# Period at which a home logs its use of the retry budget and of rate limits.
 USAGE_LOG_PERIOD_S = 1.0
 
 
@@ -65,6 +67,7 @@
     ticket: Ticket
     result: Result
     duration_s: float
+    rate_limit: RateLimitNotice | None = None
 
 
 @frozen(kw_only=True)
@@ -111,7 +114,9 @@
         dispatcher = self.dispatchers.get(service_name)
         if dispatcher is None:
             dispatcher = Dispatcher(
-                service=service_name, bounds=self.kernel.cfg.bounds
+                service=service_name,
+                bounds=self.kernel.cfg.bounds,
+                rng=self.kernel.rng,
             )
             now_s = self.kernel.now_s()
             dispatcher.update_targets(
@@ -144,6 +149,10 @@
     @handles(ReportResult)
     def _report_result(self, msg: ReportResult) -> None:
         dispatcher = self.dispatcher(msg.service)
+        if msg.rate_limit is not None:
+            dispatcher.pool.apply_rate_limit(
+                msg.rate_limit, self.kernel.now_s()
+            )
         granted = dispatcher.pool.in_flight.get(msg.ticket)
         if granted is None:
             dispatcher.cancel_queued(msg.ticket)
@@ -222,6 +231,20 @@
                         retries=usage.retries,
                         limit=round(usage.limit),
                     )
+                self._log_rate_limits(dispatcher)
+
+    def _log_rate_limits(self, dispatcher: Dispatcher) -> None:
+        for usage in dispatcher.pool.rate_limits.take_usage(
+            self.kernel.now_s()
+        ):
+            emit(
+                RATE_LIMIT_USAGE,
+                service=dispatcher.service,
+                target=usage.target,
+                per_s=usage.rate_per_s,
+                share=round(usage.share, 3),
+                granted=usage.granted,
+            )
 
     def _log_home_started(self, service_name: str) -> None:
         """Log the rank of this node for the service; 0 is its home."""
--- a/carawaylane/gateway/fleet_rpc.py
+++ b/carawaylane/gateway/fleet_rpc.py
@@ -20,7 +20,11 @@
     send_message,
 )
 from carawaylane.kernel.service import Service, service
-from carawaylane.rpc.fleet_codec import pack_slot_reply, unpack_slot_request
+from carawaylane.rpc.fleet_codec import (
+    pack_slot_reply,
+    unpack_rate_limit,
+    unpack_slot_request,
+)
 from carawaylane.rpc.fleet_grpc import FleetBase
 from carawaylane.rpc.fleet_pb2 import Done
 
@@ -93,6 +97,9 @@
                     ticket=(hello.entry, call.done.ticket),
                     result=Result(call.done.result),
                     duration_s=call.done.took_ms / 1000,
+                    rate_limit=unpack_rate_limit(call.done.rate_limit)
+                    if call.done.HasField('rate_limit')
+                    else None,
                 )
             )
 
--- a/carawaylane/gateway/forwarding.py
+++ b/carawaylane/gateway/forwarding.py
@@ -14,7 +14,12 @@
 from carawaylane.gateway.dispatch import GrantedSlot
 from carawaylane.gateway.exchanges import ExchangeResult, OutgoingRequest
 from carawaylane.kernel.service import Service, service
-from carawaylane.messages.dispatch import AttemptKind, Refusal, SlotRequest
+from carawaylane.messages.dispatch import (
+    AttemptKind,
+    RateLimitNotice,
+    Refusal,
+    SlotRequest,
+)
 from carawaylane.messages.outcomes import (
     Answered,
     Failed,
@@ -292,13 +297,12 @@
         """
         exchange_result = attempt.task.result()
         result = _result_of(exchange_result)
+        notice = None
         if isinstance(exchange_result, CompleteAnswer | RefusedByTarget):
-            self._slot_client.record_rate_limit(
-                attempt.slot.grant.target,
-                exchange_result.rate_limit,
-                attempt.started_at_s,
+            notice = self._slot_client.record_rate_limit(
+                attempt.slot, exchange_result.rate_limit, attempt.started_at_s
             )
-        self._report_result(attempt, result)
+        self._report_result(attempt, result, notice)
         self._log_failure(state, attempt, exchange_result, result)
         match exchange_result:
             case CompleteAnswer():
@@ -366,11 +370,20 @@
             reason = 'no target could be reached'
         return NotRun(reason=reason, retry_after_ms=100)
 
-    def _report_result(self, attempt: _Attempt, result: Result) -> None:
+    def _report_result(
+        self,
+        attempt: _Attempt,
+        result: Result,
+        rate_limit: RateLimitNotice | None = None,
+    ) -> None:
         grant = attempt.slot.grant
         duration_s = self.kernel.now_s() - attempt.started_at_s
         attempt.slot.home.report_result(
-            attempt.slot.service, grant.ticket, result, duration_s
+            attempt.slot.service,
+            grant.ticket,
+            result,
+            duration_s,
+            rate_limit,
         )
         self._metrics.count('exchanges', result=result.name)
         if result is Result.ANSWERED:
--- a/carawaylane/messages/dispatch.py
+++ b/carawaylane/messages/dispatch.py
@@ -52,13 +52,29 @@
     at_home: AttemptCounts = AttemptCounts()
 
 
+@frozen(kw_only=True)
+class RateLimitNotice:
+    """What an answer said of the requests that its target takes.
+
+    `rate_per_s` is the limit for all nodes together, None if the answer named
+    none. `sent_age_s` is the time since the request was sent, `heard_age_s`
+    that since the answer arrived.
+    """
+
+    target: str
+    rate_per_s: float | None
+    sent_age_s: float
+    heard_age_s: float = 0.0
+
+
 @frozen(kw_only=True)
 class SlotRequest:
     """A caller's request that needs a slot on a target.
 
     `left_s` is the time until its caller gives up, `objective_s` the latency
     objective of its route. `digest` identifies equal requests, 0 if unknown.
-    `recent_attempts` are those of the entry at the service.
+    `recent_attempts` are those of the entry at the service, `rate_limits`
+    what it has heard of limits of the targets.
     """
 
     ticket: Ticket
@@ -74,6 +90,7 @@
     digest: int = 0
     request_id: str = ''
     recent_attempts: AttemptReport = AttemptReport()
+    rate_limits: tuple[RateLimitNotice, ...] = ()
 
     @property
     def entry(self) -> str:
--- a/carawaylane/rpc/fleet_codec.py
+++ b/carawaylane/rpc/fleet_codec.py
@@ -10,6 +10,7 @@
     AttemptReport,
     Grant,
     Queued,
+    RateLimitNotice,
     Refusal,
     SlotReply,
     SlotRequest,
@@ -17,7 +18,14 @@
 )
 from carawaylane.messages.stored_objects import ObjectDelta, StoredObject
 from carawaylane.rpc.fleet_pb2 import Ask as AskPb
-from carawaylane.rpc.fleet_pb2 import Attempts, Done, Known, Object, Reply
+from carawaylane.rpc.fleet_pb2 import (
+    Attempts,
+    Done,
+    Known,
+    Object,
+    RateLimit,
+    Reply,
+)
 
 if TYPE_CHECKING:
     from carawaylane.decisions.failure_estimate import Result
@@ -39,6 +47,9 @@
         request_id=request.request_id,
         recent_attempts=_pack_counts(request.recent_attempts.total),
         recent_attempts_here=_pack_counts(request.recent_attempts.at_home),
+        rate_limits=[
+            _pack_rate_limit(notice) for notice in request.rate_limits
+        ],
     )
 
 
@@ -62,6 +73,9 @@
             total=_unpack_counts(msg.recent_attempts),
             at_home=_unpack_counts(msg.recent_attempts_here),
         ),
+        rate_limits=tuple(
+            unpack_rate_limit(limit) for limit in msg.rate_limits
+        ),
     )
 
 
@@ -73,8 +87,31 @@
     return AttemptCounts(first_attempts=msg.firsts, retries=msg.retries)
 
 
+def _pack_rate_limit(notice: RateLimitNotice) -> RateLimit:
+    return RateLimit(
+        target=notice.target,
+        per_s=notice.rate_per_s,
+        sent_age_ms=int(notice.sent_age_s * 1000),
+        heard_age_ms=int(notice.heard_age_s * 1000),
+    )
+
+
+def unpack_rate_limit(msg: RateLimit) -> RateLimitNotice:
+    """Return the notice in the protobuf message of an entry."""
+    return RateLimitNotice(
+        target=msg.target,
+        rate_per_s=msg.per_s if msg.HasField('per_s') else None,
+        sent_age_s=msg.sent_age_ms / 1000,
+        heard_age_s=msg.heard_age_ms / 1000,
+    )
+
+
 def pack_result(
-    ticket: Ticket, service: str, result: Result, duration_s: float
+    ticket: Ticket,
+    service: str,
+    result: Result,
+    duration_s: float,
+    rate_limit: RateLimitNotice | None = None,
 ) -> Done:
     """Return the protobuf message of the result of a granted request."""
     return Done(
@@ -82,6 +119,7 @@
         service=service,
         result=result.value,  # type: ignore[arg-type]
         took_ms=int(duration_s * 1000),
+        rate_limit=_pack_rate_limit(rate_limit) if rate_limit else None,
     )
 
 
--- a/carawaylane/telemetry/events.py
+++ b/carawaylane/telemetry/events.py
@@ -236,6 +236,12 @@
     _INFO,
     'An entry sends a request to a target that has named a limit to it.',
 )
+RATE_LIMIT_USAGE = _declare_event(
+    611,
+    'rate-limit-usage',
+    _INFO,
+    'How many requests a home has granted within the limit of a target.',
+)
 
 
 class JsonFormatter(std_logging.Formatter):
--- a/tests/decisions/test_dispatcher.py
+++ b/tests/decisions/test_dispatcher.py
@@ -1,5 +1,7 @@
 """The dispatcher grants, queues and refuses requests in virtual time."""
 
+from random import Random
+
 import pytest
 
 from carawaylane.decisions.dispatcher import Dispatcher
@@ -40,7 +42,7 @@
 
 
 def make_dispatcher(*names, now_s=0.0, **changes):
-    dispatcher = Dispatcher(service='s', bounds=Bounds())
+    dispatcher = Dispatcher(service='s', bounds=Bounds(), rng=Random(1))
     dispatcher.update_targets(
         [target_spec(name, **changes) for name in names], now_s
     )
@@ -244,7 +246,7 @@
 
 def test_retries_stay_within_the_budget(make_request):
     bounds = Bounds(retry_ratio=0.2, retry_slack=10, retry_window_s=10)
-    dispatcher = Dispatcher(service='s', bounds=bounds)
+    dispatcher = Dispatcher(service='s', bounds=bounds, rng=Random(1))
     dispatcher.update_targets([target_spec('t1', slots=100)], 0.0)
     counts = AttemptCounts(first_attempts=20)
     report = AttemptReport(total=counts, at_home=counts)
@@ -297,7 +299,7 @@
 
 def test_a_resend_after_a_failed_connection_is_not_a_retry(make_request):
     bounds = Bounds(retry_ratio=0, retry_slack=0)
-    dispatcher = Dispatcher(service='s', bounds=bounds)
+    dispatcher = Dispatcher(service='s', bounds=bounds, rng=Random(1))
     dispatcher.update_targets([target_spec('t1')], 0.0)
     assert isinstance(
         dispatcher.request_slot(make_request(attempt=AttemptKind.RESEND), 0.0),
@@ -503,7 +505,7 @@
 def test_hedges_without_a_slot_do_not_spend_the_retry_budget(make_request):
     """A hedge that gets no slot is no retry and must not count as one."""
     bounds = Bounds(retry_ratio=0.0, retry_slack=2)
-    dispatcher = Dispatcher(service='s', bounds=bounds)
+    dispatcher = Dispatcher(service='s', bounds=bounds, rng=Random(1))
     dispatcher.update_targets([target_spec('t1', slots=1)], 0.0)
     first = make_request()
     dispatcher.request_slot(first, 0.0)
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -104,3 +104,20 @@
     assert_within_limit(limited, started_at_s)
     # The other target has room for nearly all requests.
     assert served >= 0.9 * sent
+
+
+async def test_a_limit_that_answers_no_longer_name_is_lifted_at_all_nodes(
+    fleet,
+):
+    nodes = await start_nodes(fleet)
+    limited = await fleet.start_target('limited', slots=4)
+    for node in nodes:
+        targets = node.find('directory').targets
+        await fleet.wait_until(lambda t=targets: len(t) == 1)
+    limited.rate_limit_per_s = LIMIT_PER_S
+    await send_load(nodes, load_s=1.0)
+    limited.rate_limit_per_s = None
+    await send_load(nodes, load_s=1.0)
+    assert {(await fetch(node, '/read/x')).status for node in nodes} == {200}
+    sent, served = await send_load(nodes, load_s=1.0)
+    assert served == sent
