Serve callers of nodes that reach no target through peers

Cause: an entry sends itself what a home grants, and had no other way. What it could not reach it reported as a failure of the target, so homes took all targets for failing and refused the requests of the other nodes, too. Class: evidence about a path taken for evidence about its end. Change: a failed connection, one that broke without an answer, and answers that are late while no target has answered since start a check: the node connects to two other targets, and asks peers if neither accepts. If only peers reach them, it is cut off. It then lets peers send its requests (Relay), tells homes nothing of targets that it could not reach, withdraws the attempts that hang, hedges idempotent ones at once, and tries every 0.5 s whether it reaches targets again. A request goes through a peer only if this node, and each peer before, has sent no byte of it, so it runs at most once. A stopping node finishes what it sends for peers.

--- a/carawaylane/gateway/callers.py
+++ b/carawaylane/gateway/callers.py
@@ -16,9 +16,9 @@
 from xxhash import xxh3_64_intdigest
 
 from carawaylane.decisions.route_table import TrafficSplitter
-from carawaylane.gateway.exchanges import OutgoingRequest
 from carawaylane.gateway.forwarding import RoutedRequest
 from carawaylane.kernel.service import Service, service
+from carawaylane.messages.exchange import OutgoingRequest
 from carawaylane.messages.outcomes import Answered, NotRun, Outcome, Unknown
 from carawaylane.messages.platform_objects import CallerLimits
 from carawaylane.platform.headers import (
@@ -103,6 +103,7 @@
         """Open the socket and accept connections."""
         self._directory = self.kernel.find('directory')
         self._forwarding = self.kernel.find('forwarding')
+        self._target_paths = self.kernel.find('target_paths')
         self._metrics = self.kernel.find('telemetry').metrics
         self._http_server = _HttpServer(callers=self)
         host, _, port = self.kernel.cfg.listen.rpartition(':')
@@ -115,7 +116,10 @@
         )
 
     async def drain(self) -> None:
-        """Serve until the load balancer has noticed, then finish requests."""
+        """Serve until the load balancer has noticed, then finish requests.
+
+        These include the requests that the node sends for peers.
+        """
         started_at_s = self.kernel.now_s()
         deadline_s = (
             started_at_s + self.kernel.cfg.bounds.grace_s - EXIT_MARGIN_S
@@ -124,7 +128,9 @@
         self._refuses_requests = True
         self._close_idle_connections()
         await sleep(DRAIN_REFUSE_S)
-        while self._busy_connections and self.kernel.now_s() < deadline_s:
+        while (
+            self._busy_connections or self._target_paths.relayed_requests
+        ) and self.kernel.now_s() < deadline_s:
             await sleep(DRAIN_POLL_S)
 
     def _close_idle_connections(self) -> None:
--- a/carawaylane/gateway/exchanges.py
+++ b/carawaylane/gateway/exchanges.py
@@ -17,10 +17,9 @@
 from aiohttp import ClientError
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_exceptions import HttpProcessingError
-from attrs import define, frozen
+from attrs import define
 
 from carawaylane.kernel.service import Service, service
-from carawaylane.messages.outcomes import Headers
 from carawaylane.platform.headers import (
     read_response_headers,
     target_request_headers,
@@ -37,6 +36,8 @@
     from asyncio import AbstractEventLoop
 
     from carawaylane.kernel.kernel import Kernel
+    from carawaylane.messages.exchange import OutgoingRequest
+    from carawaylane.messages.outcomes import Headers
 
 CONNECT_TIMEOUT_S = 0.3
 # An idle connection is reused for at most this long, and for at most this
@@ -59,18 +60,6 @@
 ExchangeResult = CompleteAnswer | NeverSent | RefusedByTarget | BrokenExchange
 
 
-@frozen(kw_only=True)
-class OutgoingRequest:
-    """A request as it is sent to a target."""
-
-    method: str
-    path: str
-    headers: Headers
-    body: bytes
-    request_id: str
-    idempotent: bool
-
-
 class _ResponseHandler(ResponseHandler):
     """Protocol that fails the body of an answer if the connection is reset.
 
@@ -121,9 +110,7 @@
     async def stop(self) -> None:
         """Close the idle connections."""
         await super().stop()
-        for conns in self._idle_connections.values():
-            for conn in conns:
-                conn.transport.abort()
+        self.close_idle()
 
     async def exchange(
         self,
@@ -162,6 +149,22 @@
             else:
                 conn.transport.abort()
 
+    async def reaches(self, address: str) -> bool:
+        """Open a connection for the pool; return whether that worked."""
+        try:
+            async with timeout(CONNECT_TIMEOUT_S):
+                conn = await self._open_connection(address)
+        except (TimeoutError, OSError):
+            return False
+        self._return_idle(address, conn)
+        return True
+
+    def close_idle(self) -> None:
+        """Close the idle connections."""
+        for conns in self._idle_connections.values():
+            while conns:
+                conns.pop().transport.abort()
+
     async def _open_connection(self, address: str) -> _Connection:
         loop: AbstractEventLoop = get_running_loop()
         host, _, port = address.rpartition(':')
--- a/carawaylane/gateway/fleet_rpc.py
+++ b/carawaylane/gateway/fleet_rpc.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from asyncio import Queue
+from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
 from grpclib.server import Server
@@ -41,6 +42,7 @@
         self._svc = svc
         self._dispatchers = svc.kernel.find('dispatchers')
         self._object_sync = svc.kernel.find('news')
+        self._target_paths = svc.kernel.find('target_paths')
 
     async def Dispatch(self, stream: Any) -> None:  # noqa: N802
         """Handle the messages of one entry until its stream ends.
@@ -69,6 +71,20 @@
         msg = await stream.recv_message()
         await stream.send_message(self._object_sync.handle_sync(msg))
 
+    async def Relay(self, stream: Any) -> None:  # noqa: N802
+        """Send a request for a node that is cut off from the targets."""
+        msg = await stream.recv_message()
+        reply = await self._target_paths.relay(msg)
+        with suppress(*RPC_ERRORS):
+            await send_message(stream, reply)
+
+    async def Reach(self, stream: Any) -> None:  # noqa: N802
+        """Tell a peer which targets this node can connect to."""
+        msg = await stream.recv_message()
+        reply = await self._target_paths.reach(msg)
+        with suppress(*RPC_ERRORS):
+            await send_message(stream, reply)
+
     def _handle_call(
         self, call: Call, hello: Call, replies: Queue[SlotReply]
     ) -> None:
--- a/carawaylane/gateway/forwarding.py
+++ b/carawaylane/gateway/forwarding.py
@@ -12,7 +12,7 @@
 
 from carawaylane.decisions.failure_estimate import Result
 from carawaylane.gateway.dispatch import GrantedSlot
-from carawaylane.gateway.exchanges import ExchangeResult, OutgoingRequest
+from carawaylane.gateway.exchanges import ExchangeResult
 from carawaylane.kernel.service import Service, service
 from carawaylane.messages.dispatch import (
     AttemptKind,
@@ -20,6 +20,7 @@
     Refusal,
     SlotRequest,
 )
+from carawaylane.messages.exchange import OutgoingRequest
 from carawaylane.messages.outcomes import (
     Answered,
     Failed,
@@ -46,6 +47,8 @@
 HEDGE_RETRY_S = 0.25
 # Minimum interval between reports to a home that an attempt has no answer yet.
 MIN_REPORT_INTERVAL_S = 0.05
+# An attempt that was withdrawn is not reported again; no request takes longer.
+NO_REPORT_S = 600.0
 
 
 @frozen(kw_only=True)
@@ -102,7 +105,7 @@
     async def start(self) -> None:
         """Look up the other services."""
         self._slot_client = self.kernel.find('dispatch')
-        self._exchanges = self.kernel.find('exchanges')
+        self._target_paths = self.kernel.find('target_paths')
         self._metrics = self.kernel.find('telemetry').metrics
 
     async def forward(self, routed: RoutedRequest) -> Outcome:
@@ -215,7 +218,7 @@
         now_s = self.kernel.now_s()
         grant = slot.grant
         task = create_task(
-            self._exchanges.exchange(
+            self._target_paths.exchange(
                 grant.target,
                 grant.address,
                 routed.request,
@@ -281,12 +284,36 @@
         now_s = self.kernel.now_s()
         for attempt in state.in_flight:
             if now_s >= attempt.next_report_at_s:
+                self._target_paths.check_if_silent(attempt.started_at_s)
+                if self._lost_its_path(attempt):
+                    self._withdraw(state, attempt)
+                    continue
                 slot = attempt.slot
                 slot.home.report_still_waiting(slot.service, slot.grant.ticket)
                 attempt.next_report_at_s = now_s + max(
                     slot.grant.hedge_after_s, MIN_REPORT_INTERVAL_S
                 )
 
+    def _lost_its_path(self, attempt: _Attempt) -> bool:
+        """Return whether the node was cut off after it sent an attempt."""
+        cut_off_at_s = self._target_paths.paths.cut_off_at_s
+        return cut_off_at_s is not None and attempt.started_at_s < cut_off_at_s
+
+    def _withdraw(self, state: _ForwardState, attempt: _Attempt) -> None:
+        """Tell the home that an attempt says nothing of its target.
+
+        The answer may still come. An idempotent request is hedged at once.
+        """
+        attempt.next_report_at_s = self.kernel.now_s() + NO_REPORT_S
+        attempt.slot.home.report_result(
+            attempt.slot.service, attempt.slot.grant.ticket, Result.UNUSED, 0.0
+        )
+        if (
+            state.routed.route.idempotent
+            and state.targets_reached < state.routed.route.max_targets
+        ):
+            state.hedge_at_s = self.kernel.now_s()
+
     def _end_attempt(
         self, state: _ForwardState, attempt: _Attempt
     ) -> AttemptKind | Outcome | None:
@@ -417,6 +444,8 @@
                 if status >= MIN_SERVER_ERROR_STATUS
                 else Result.ANSWERED
             )
+        case NeverSent(own_path=True) | BrokenExchange(own_path=True):
+            return Result.UNUSED
         case NeverSent():
             return Result.UNREACHED
         case RefusedByTarget(misdirected=True):
--- /dev/null
+++ b/carawaylane/gateway/target_paths.py
@@ -0,0 +1,297 @@
+"""Sends requests to targets, through a peer while this node is cut off.
+
+A request is sent through a peer only if this node has sent no byte of it, and
+through another peer only if the first one says the same. So it reaches one
+target at most, whichever way it takes.
+"""
+
+from __future__ import annotations
+
+from asyncio import FIRST_COMPLETED, Task, create_task, gather, shield, sleep
+from asyncio import wait as wait_for_any
+from typing import TYPE_CHECKING
+
+from carawaylane.decisions.target_paths import RelayPeers, TargetPaths
+from carawaylane.gateway.relays import NotRelayed
+from carawaylane.kernel.service import Service, service
+from carawaylane.rpc.fleet_pb2 import ReachReply, ReachRequest, RelayReply
+from carawaylane.rpc.relay_codec import (
+    pack_relay_reply,
+    pack_relay_request,
+    unpack_relay_reply,
+    unpack_relayed_request,
+)
+from carawaylane.services.targets import (
+    BrokenExchange,
+    CompleteAnswer,
+    NeverSent,
+    RefusedByTarget,
+)
+from carawaylane.telemetry.events import PATHS_BACK, PATHS_LOST, emit
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from carawaylane.gateway.exchanges import ExchangeResult
+    from carawaylane.kernel.kernel import Kernel
+    from carawaylane.messages.exchange import OutgoingRequest
+    from carawaylane.rpc.fleet_pb2 import RelayRequest
+
+# How many targets a check connects to, and how many peers it asks if none of
+# these accepts.
+CHECKED_TARGETS = 2
+CHECKING_PEERS = 5
+# Minimum interval between checks while answers are late.
+CHECK_INTERVAL_S = 0.25
+# Interval at which a node that is cut off tries to reach targets again.
+RECOVERY_PERIOD_S = 0.5
+# Number of peers that are asked to send a request.
+MAX_RELAYS = 3
+# The peer ends an exchange this long before the entry gives up.
+RELAY_MARGIN_S = 0.02
+
+
+@service('target_paths')
+class TargetPathsService(Service):
+    """Knows whether this node reaches the targets, and sends requests.
+
+    It also sends requests for peers that are cut off.
+    """
+
+    def __init__(self, *, kernel: Kernel) -> None:
+        super().__init__(kernel=kernel)
+        self.paths = TargetPaths()
+        self._peers = RelayPeers(rng=kernel.rng)
+        self._check: Task[None] | None = None
+        self._checked_at_s = float('-inf')
+        # Requests in flight that this node sends for peers.
+        self.relayed_requests = 0
+
+    async def start(self) -> None:
+        """Look up the other services."""
+        self._directory = self.kernel.find('directory')
+        self._exchanges = self.kernel.find('exchanges')
+        self._links = self.kernel.find('links')
+        self._relays = self.kernel.find('relays')
+        self._metrics = self.kernel.find('telemetry').metrics
+
+    # Requests of this node
+
+    async def exchange(
+        self,
+        target: str,
+        address: str,
+        request: OutgoingRequest,
+        time_left_s: float,
+    ) -> ExchangeResult:
+        """Send a request to a target and return the result.
+
+        Cancelling this closes the connection, also that of a peer.
+        """
+        deadline_s = self.kernel.now_s() + time_left_s
+        if not self.paths.cut_off:
+            result = await self._exchange_directly(
+                target, address, request, time_left_s
+            )
+            if not (isinstance(result, NeverSent) and self.paths.cut_off):
+                return result
+        return await self._exchange_through_peers(
+            target, address, request, deadline_s
+        )
+
+    async def _exchange_directly(
+        self,
+        target: str,
+        address: str,
+        request: OutgoingRequest,
+        time_left_s: float,
+    ) -> ExchangeResult:
+        result = await self._exchanges.exchange(
+            target, address, request, time_left_s
+        )
+        match result:
+            case CompleteAnswer() | RefusedByTarget():
+                self.paths.record_reached(self.kernel.now_s())
+            case NeverSent(reason=reason):
+                await self._run_check(address)
+                return NeverSent(reason=reason, own_path=self.paths.cut_off)
+            case BrokenExchange(
+                reason=reason, mismatched=False, timed_out=False
+            ):
+                await self._run_check(address)
+                return BrokenExchange(
+                    reason=reason, own_path=self.paths.cut_off
+                )
+        return result
+
+    async def _exchange_through_peers(
+        self,
+        target: str,
+        address: str,
+        request: OutgoingRequest,
+        deadline_s: float,
+    ) -> ExchangeResult:
+        tried = {self.kernel.cfg.name}
+        for _ in range(MAX_RELAYS):
+            left_s = deadline_s - self.kernel.now_s() - RELAY_MARGIN_S
+            member = self._peers.choose(
+                self._directory.members, tried, self.kernel.now_s()
+            )
+            if member is None or left_s <= 0:
+                break
+            tried.add(member)
+            reply = await self._relays.relay(
+                self._directory.members[member].address,
+                pack_relay_request(target, address, request, left_s),
+                left_s + RELAY_MARGIN_S,
+            )
+            if isinstance(reply, NotRelayed):
+                self._peers.record_not_sent(member, self.kernel.now_s())
+                continue
+            self._metrics.count('relayed_requests', way='out')
+            if reply is None:
+                return BrokenExchange(reason='a peer was lost', own_path=True)
+            result = unpack_relay_reply(reply)
+            if getattr(result, 'own_path', False):
+                self._peers.record_not_sent(member, self.kernel.now_s())
+                if isinstance(result, NeverSent):
+                    continue
+                return result
+            self._peers.record_sent(member, self.kernel.now_s())
+            return result
+        return NeverSent(reason='no path to the target', own_path=True)
+
+    # Requests of peers
+
+    async def relay(self, msg: RelayRequest) -> RelayReply:
+        """Send a request for a peer that is cut off from the targets."""
+        if self.paths.cut_off or self.kernel.draining:
+            return pack_relay_reply(
+                NeverSent(reason='no path to the target', own_path=True)
+            )
+        self._metrics.count('relayed_requests', way='in')
+        self.relayed_requests += 1
+        try:
+            return pack_relay_reply(
+                await self._exchange_directly(
+                    msg.target,
+                    msg.address,
+                    unpack_relayed_request(msg),
+                    msg.left_ms / 1000,
+                )
+            )
+        finally:
+            self.relayed_requests -= 1
+
+    async def reach(self, msg: ReachRequest) -> ReachReply:
+        """Return which of some targets this node can connect to."""
+        if self.paths.cut_off:
+            return ReachReply()
+        addresses = list(msg.addresses)[:CHECKED_TARGETS]
+        reached = await gather(
+            *(self._exchanges.reaches(address) for address in addresses)
+        )
+        return ReachReply(
+            addresses=[
+                address
+                for address, is_reached in zip(addresses, reached, strict=True)
+                if is_reached
+            ]
+        )
+
+    # Checks
+
+    def check_if_silent(self, since_s: float) -> None:
+        """Check the paths if no target has answered since a time."""
+        if (
+            self.paths.silent_since(since_s)
+            and not self.paths.cut_off
+            and self.kernel.now_s() - self._checked_at_s >= CHECK_INTERVAL_S
+        ):
+            self._start_check(None)
+
+    async def _run_check(self, failed_address: str) -> None:
+        """Check the paths after a failure, or wait for a check under way."""
+        if not self.paths.cut_off:
+            await shield(self._start_check(failed_address))
+
+    def _start_check(self, failed_address: str | None) -> Task[None]:
+        if self._check is None or self._check.done():
+            self._check = self.spawn(self._check_paths(failed_address))
+        return self._check
+
+    async def _check_paths(self, failed_address: str | None) -> None:
+        self._checked_at_s = self.kernel.now_s()
+        addresses = self._some_addresses(failed_address)
+        reached = await self._reaches_any(addresses)
+        reached_by_peer = False
+        if not reached and addresses:
+            reached_by_peer = await self._peer_reaches_any(addresses)
+        if self.paths.record_check(
+            reached=reached,
+            reached_by_peer=reached_by_peer,
+            now_s=self.kernel.now_s(),
+        ):
+            self._exchanges.close_idle()
+            emit(PATHS_LOST, targets=addresses)
+            self.spawn(self._await_recovery())
+
+    async def _await_recovery(self) -> None:
+        while self.paths.cut_off:
+            await sleep(RECOVERY_PERIOD_S)
+            reached = await self._reaches_any(self._some_addresses(None))
+            if self.paths.record_check(
+                reached=reached,
+                reached_by_peer=False,
+                now_s=self.kernel.now_s(),
+            ):
+                emit(PATHS_BACK)
+
+    def _some_addresses(self, failed_address: str | None) -> list[str]:
+        """Return addresses of some targets, rather not of a failed one."""
+        addresses = [
+            target.address
+            for target in self._directory.targets.values()
+            if target.address != failed_address
+        ]
+        if not addresses and failed_address is not None:
+            return [failed_address]
+        return self.kernel.rng.sample(
+            addresses, min(CHECKED_TARGETS, len(addresses))
+        )
+
+    async def _reaches_any(self, addresses: Collection[str]) -> bool:
+        """Return whether one of some targets accepts a connection."""
+        pending = {
+            create_task(self._exchanges.reaches(address))
+            for address in addresses
+        }
+        try:
+            while pending:
+                done, pending = await wait_for_any(
+                    pending, return_when=FIRST_COMPLETED
+                )
+                if any(task.result() for task in done):
+                    return True
+            return False
+        finally:
+            for task in pending:
+                task.cancel()
+
+    async def _peer_reaches_any(self, addresses: list[str]) -> bool:
+        """Return whether a peer can connect to one of some targets."""
+        peers = [
+            member.address
+            for name, member in self._directory.members.items()
+            if name != self.kernel.cfg.name
+        ]
+        peers = self.kernel.rng.sample(peers, min(CHECKING_PEERS, len(peers)))
+        replies = await gather(
+            *(
+                self._links.call(
+                    peer, 'Reach', ReachRequest(addresses=addresses)
+                )
+                for peer in peers
+            )
+        )
+        return any(reply and reply.addresses for reply in replies)
--- a/carawaylane/messages/exchange.py
+++ b/carawaylane/messages/exchange.py
@@ -1,4 +1,4 @@
-"""A request inside the fleet and the chunks of its streamed answer."""
+"""Requests inside the fleet and to targets, and chunks of streamed answers."""
 
 from __future__ import annotations
 
@@ -35,6 +35,18 @@
     digest: str = ''
 
 
+@frozen(kw_only=True)
+class OutgoingRequest:
+    """A request as it is sent to a target."""
+
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    request_id: str
+    idempotent: bool
+
+
 @frozen(kw_only=True)
 class Head:
     """Status and headers of an answer.
--- a/carawaylane/rpc/fleet_grpc.py
+++ b/carawaylane/rpc/fleet_grpc.py
@@ -22,6 +22,14 @@
     async def Sync(self, stream: 'grpclib.server.Stream[carawaylane.rpc.fleet_pb2.SyncRequest, carawaylane.rpc.fleet_pb2.SyncReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Relay(self, stream: 'grpclib.server.Stream[carawaylane.rpc.fleet_pb2.RelayRequest, carawaylane.rpc.fleet_pb2.RelayReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def Reach(self, stream: 'grpclib.server.Stream[carawaylane.rpc.fleet_pb2.ReachRequest, carawaylane.rpc.fleet_pb2.ReachReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/carawaylane.fleet.Fleet/Dispatch': grpclib.const.Handler(
@@ -36,6 +44,18 @@
                 carawaylane.rpc.fleet_pb2.SyncRequest,
                 carawaylane.rpc.fleet_pb2.SyncReply,
             ),
+            '/carawaylane.fleet.Fleet/Relay': grpclib.const.Handler(
+                self.Relay,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                carawaylane.rpc.fleet_pb2.RelayRequest,
+                carawaylane.rpc.fleet_pb2.RelayReply,
+            ),
+            '/carawaylane.fleet.Fleet/Reach': grpclib.const.Handler(
+                self.Reach,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                carawaylane.rpc.fleet_pb2.ReachRequest,
+                carawaylane.rpc.fleet_pb2.ReachReply,
+            ),
         }
 
 
@@ -54,3 +74,15 @@
             carawaylane.rpc.fleet_pb2.SyncRequest,
             carawaylane.rpc.fleet_pb2.SyncReply,
         )
+        self.Relay = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/carawaylane.fleet.Fleet/Relay',
+            carawaylane.rpc.fleet_pb2.RelayRequest,
+            carawaylane.rpc.fleet_pb2.RelayReply,
+        )
+        self.Reach = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/carawaylane.fleet.Fleet/Reach',
+            carawaylane.rpc.fleet_pb2.ReachRequest,
+            carawaylane.rpc.fleet_pb2.ReachReply,
+        )
--- a/carawaylane/services/targets.py
+++ b/carawaylane/services/targets.py
@@ -80,9 +80,13 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class NeverSent:
-    """No byte of the request was sent, so it did not run."""
+    """No byte of the request was sent, so it did not run.
+
+    `own_path` is set if this node reaches no target at all.
+    """
 
     reason: str
+    own_path: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -105,12 +109,14 @@
 class BrokenExchange:
     """The exchange failed after sending began: the request may have run.
 
-    `mismatched` is set if the answer belongs to another request.
+    `mismatched` is set if the answer belongs to another request, `own_path`
+    if this node reaches no target at all.
     """
 
     reason: str
     mismatched: bool = False
     timed_out: bool = False
+    own_path: bool = False
 
 
 ExchangeResult = (
--- a/carawaylane/telemetry/events.py
+++ b/carawaylane/telemetry/events.py
@@ -242,6 +242,15 @@
     _INFO,
     'How many requests a home has granted within the limit of a target.',
 )
+PATHS_LOST = _declare_event(
+    504,
+    'paths-lost',
+    _WARN,
+    'The node reaches no target, but peers do; they send its requests.',
+)
+PATHS_BACK = _declare_event(
+    505, 'paths-back', _INFO, 'The node reaches targets again.'
+)
 
 
 class JsonFormatter(std_logging.Formatter):
