--- a/standins/raw_target.py
+++ b/standins/raw_target.py
@@ -13,6 +13,9 @@
 
 from attrs import Factory, define
 
+# An endless answer is written in blocks, and cut off after the cap.
+ENDLESS_BLOCK_BYTES = 65536
+ENDLESS_CAP_BYTES = 256 << 20
 # Placeholder in an answer for the id of the request.
 REQUEST_ID_PLACEHOLDER = b'@ID@'
 OK = (
@@ -26,7 +29,8 @@
     """An answer of a raw target, and when and how it is sent.
 
     With `hang`, the target sends nothing until the client closes the
-    connection.
+    connection. `endless` is sent after the answer again and again, until the
+    client closes the connection or ENDLESS_CAP_BYTES are sent.
     """
 
     data: bytes = OK
@@ -34,6 +38,7 @@
     # What happens after the answer: '' (nothing), 'close' or 'reset'.
     connection_end: str = ''
     hang: bool = False
+    endless: bytes = b''
 
 
 @define(kw_only=True)
@@ -51,6 +56,8 @@
     arrival_times_s: list[float] = Factory(list)
     connections: int = 0
     aborted_requests: int = 0
+    # Bytes of each endless answer that the client has taken.
+    endless_bytes: list[int] = Factory(list)
     rate_limit_per_s: float | None = None
     close: Callable[[], None] = lambda: None
 
@@ -87,6 +94,9 @@
             header = f'\r\nServer-Limit: {self.rate_limit_per_s}\r\n'
             answer = answer.replace(b'\r\n', header.encode(), 1)
         writer.write(answer)
+        if reply.endless:
+            await self._send_endless(reply.endless, writer)
+            return False
         if reply.connection_end == 'reset':
             # Lets the client read the answer; a reset discards what it has not
             # read yet.
@@ -97,6 +107,16 @@
             writer.transport.abort()
         return not reply.connection_end
 
+    async def _send_endless(self, data: bytes, writer: StreamWriter) -> None:
+        block = data * max(1, ENDLESS_BLOCK_BYTES // len(data))
+        number = len(self.endless_bytes)
+        self.endless_bytes.append(0)
+        while self.endless_bytes[number] < ENDLESS_CAP_BYTES:
+            writer.write(block)
+            await writer.drain()
+            self.endless_bytes[number] += len(block)
+            await sleep(0)
+
 
 async def _read_request(reader: StreamReader) -> bytes:
     head = await reader.readuntil(b'\r\n\r\n')
