Bound what a target can send in one answer

What callers saw: a body without end took up to the memory of a node (268 MB of a stand-in that stops there), interim answers without end kept the event loop busy until the timeout; a complete answer was lost if bytes that are no answer followed it at once. Cause: aiohttp bounds a header line and what is buffered of a body, but not the number of interim answers, the head as a whole, or what follows an answer, and the gateway read bodies whole, without a limit. Class: input whose size the other side chooses. Change: the protocol of connections to targets, now the same in both daemons, parses a line of a head and 8 KB of a body at a time, allows 128 KB of head and 16 interim answers, and closes a connection at the first byte after an answer without parsing it. The gateway cuts off an answer above 8 MB, and above 64 KB while all large answers take 32 MB, so that small ones are read whole beside them. carawayd streams large answers and needs no such limit. In carawayd the two cases with bytes after an answer failed before (BrokenExchange, the answer was lost) and pass now; its heads and bodies without end were bounded by its timeouts.

--- a/carawaylane/gateway/exchanges.py
+++ b/carawaylane/gateway/exchanges.py
@@ -15,15 +15,16 @@
 from typing import TYPE_CHECKING, Any
 
 from aiohttp import ClientError
-from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_exceptions import HttpProcessingError
 from attrs import define
 
+from carawaylane.decisions.answer_memory import AnswerMemory
 from carawaylane.kernel.service import Service, service
 from carawaylane.platform.headers import (
     read_response_headers,
     target_request_headers,
 )
+from carawaylane.services.response_handler import BoundedResponseHandler
 from carawaylane.services.targets import (
     HOP_BY_HOP_HEADERS,
     BrokenExchange,
@@ -35,6 +36,8 @@
 if TYPE_CHECKING:
     from asyncio import AbstractEventLoop
 
+    from aiohttp import StreamReader
+
     from carawaylane.kernel.kernel import Kernel
     from carawaylane.messages.exchange import OutgoingRequest
     from carawaylane.messages.outcomes import Headers
@@ -60,7 +63,7 @@
 ExchangeResult = CompleteAnswer | NeverSent | RefusedByTarget | BrokenExchange
 
 
-class _ResponseHandler(ResponseHandler):
+class _ResponseHandler(BoundedResponseHandler):
     """Protocol that fails the body of an answer if the connection is reset.
 
     An answer without a length ends when the connection closes; aiohttp would
@@ -106,6 +109,7 @@
             list
         )
         self.connections_opened = 0
+        self._answer_memory = AnswerMemory()
 
     async def stop(self) -> None:
         """Close the idle connections."""
@@ -218,14 +222,31 @@
             message, payload = await conn.protocol.read()
             while 100 <= message.code < 200:
                 message, payload = await conn.protocol.read()
-            body = await payload.read()
+            body = await self._read_body(conn.protocol, payload)
         except ANSWER_ERRORS as exc:
             return BrokenExchange(reason=type(exc).__name__)
+        if body is None:
+            return BrokenExchange(reason='the answer is too large')
         if message.should_close:
             conn.protocol.force_close()
         _limit_idle_time(conn, message.headers.get('Keep-Alive', ''))
         return _check_answer(message, body, request)
 
+    async def _read_body(
+        self, protocol: _ResponseHandler, payload: StreamReader
+    ) -> bytes | None:
+        """Return the body of an answer, or None if it is too large."""
+        size = self._answer_memory.new_answer()
+        chunks = []
+        try:
+            async for chunk in payload.iter_any():
+                if not size.grow_to(protocol.body_bytes):
+                    return None
+                chunks.append(chunk)
+        finally:
+            size.release()
+        return b''.join(chunks)
+
 
 def _check_answer(
     message: Any, body: bytes, request: OutgoingRequest
--- a/carawaylane/services/targets.py
+++ b/carawaylane/services/targets.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from asyncio import open_connection, timeout
+from asyncio import get_running_loop, open_connection, timeout
 from collections import Counter
 from contextlib import suppress
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING
 
 from aiohttp import (
@@ -21,6 +22,8 @@
 from attrs import frozen
 from multidict import CIMultiDict
 
+from carawaylane.services.response_handler import BoundedResponseHandler
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
@@ -322,6 +325,10 @@
         connector = TCPConnector(limit=0, force_close=True)
     else:
         connector = TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S)
+    # aiohttp has no public option for the protocol of its connections.
+    connector._factory = partial(  # type: ignore[assignment]
+        BoundedResponseHandler, loop=get_running_loop()
+    )
     return ClientSession(
         connector=connector,
         cookie_jar=DummyCookieJar(),
--- /dev/null
+++ b/tests/services/test_response_handler.py
@@ -0,0 +1,106 @@
+"""Tests of the bounds on what a target sends over a connection."""
+
+from asyncio import Transport, get_running_loop
+
+import pytest
+from aiohttp import ClientError
+from aiohttp.http_exceptions import HttpProcessingError
+
+from carawaylane.services.response_handler import (
+    MAX_INTERIM_ANSWERS,
+    BoundedResponseHandler,
+)
+
+ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+CHUNKED = (
+    b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+    b'2\r\nok\r\n0\r\n\r\n'
+)
+INTERIM = b'HTTP/1.1 100 Continue\r\n\r\n'
+
+
+class FakeTransport(Transport):
+    def __init__(self):
+        super().__init__()
+        self.closing = False
+
+    def is_closing(self):
+        return self.closing
+
+    def abort(self):
+        self.closing = True
+
+    close = abort
+
+
+def connect(**params):
+    handler = BoundedResponseHandler(get_running_loop())
+    handler.connection_made(FakeTransport())
+    handler.set_response_params(read_until_eof=True, **params)
+    return handler
+
+
+def receive(handler, data, step):
+    for start in range(0, len(data), step):
+        handler.data_received(data[start : start + step])
+
+
+async def read_final(handler):
+    message, payload = await handler.read()
+    while message.code == 100:
+        message, payload = await handler.read()
+    return message, await payload.read()
+
+
+@pytest.mark.parametrize('step', [1, 7, 100000])
+@pytest.mark.parametrize('answer', [ANSWER, CHUNKED], ids=['length', 'chunks'])
+async def test_an_answer_is_parsed_however_it_arrives(answer, step):
+    handler = connect()
+    receive(handler, INTERIM + answer, step)
+    message, body = await read_final(handler)
+    assert (message.code, body) == (200, b'ok')
+    assert handler.is_connected()
+    assert not handler.should_close
+
+
+@pytest.mark.parametrize('step', [1, 7, 100000])
+@pytest.mark.parametrize(
+    'extra',
+    [b'garbage', ANSWER, INTERIM * 1000],
+    ids=['garbage', 'answer', 'interim answers'],
+)
+async def test_bytes_after_an_answer_close_its_connection(step, extra):
+    handler = connect()
+    receive(handler, ANSWER + extra, step)
+    message, body = await read_final(handler)
+    assert (message.code, body) == (200, b'ok')
+    assert handler.should_close
+    assert not handler.is_connected()
+
+
+async def test_an_answer_without_a_body_ends_with_its_head():
+    handler = connect(skip_payload=True)
+    receive(handler, ANSWER.removesuffix(b'ok'), 100)
+    assert (await handler.read())[0].code == 200
+    handler.data_received(b'more')
+    assert not handler.is_connected()
+
+
+async def test_the_next_answer_is_parsed_on_the_same_connection():
+    handler = connect()
+    for _ in range(3):
+        receive(handler, ANSWER, 100)
+        assert (await read_final(handler))[1] == b'ok'
+        handler.set_response_params(read_until_eof=True)
+    assert handler.is_connected()
+
+
+async def test_some_interim_answers_are_passed_over_but_not_many():
+    handler = connect()
+    receive(handler, INTERIM * MAX_INTERIM_ANSWERS + ANSWER, 100000)
+    assert (await read_final(handler))[1] == b'ok'
+    handler = connect()
+    receive(handler, INTERIM * (MAX_INTERIM_ANSWERS + 1) + ANSWER, 100000)
+    with pytest.raises((ClientError, HttpProcessingError)):
+        await read_final(handler)
+    assert not handler.is_connected()
--- a/tests/services/test_targets.py
+++ b/tests/services/test_targets.py
@@ -3,12 +3,18 @@
 An unsafe request reaches a target at most once.
 """
 
-from asyncio import sleep, start_server
+from asyncio import gather, sleep, start_server
 
 import pytest
 
 from carawaylane.messages.exchange import Request
-from carawaylane.services.targets import ExchangeOptions, TargetClient
+from carawaylane.services.targets import (
+    BrokenExchange,
+    CompleteAnswer,
+    ExchangeOptions,
+    StreamedAnswer,
+    TargetClient,
+)
 from standins.raw_target import RawTarget, Reply
 
 OPTIONS = ExchangeOptions(
@@ -89,3 +95,58 @@
 async def test_an_unsafe_post_is_sent_once():
     """A request that got no answer may have run, so it is not resent."""
     assert await count_deliveries('POST') == 1
+
+
+HEAD = b'HTTP/1.1 200 OK\r\nNot-Used: 1\r\n'
+# What a client has not read stays in the socket buffers.
+MAX_TAKEN_BYTES = 16 << 20
+
+
+@pytest.mark.parametrize(
+    ('reply', 'result_type'),
+    [
+        (
+            Reply(data=b'', endless=b'HTTP/1.1 100 Continue\r\n\r\n'),
+            BrokenExchange,
+        ),
+        (Reply(data=HEAD, endless=b'X-Filler: 1\r\n'), BrokenExchange),
+        (Reply(data=HEAD + b'\r\n', endless=b'x' * 1000), StreamedAnswer),
+        (
+            Reply(
+                data=HEAD + b'Transfer-Encoding: chunked\r\n\r\n',
+                endless=b'1\r\nx\r\n',
+            ),
+            StreamedAnswer,
+        ),
+        (Reply(endless=b'x' * 1000), CompleteAnswer),
+    ],
+    ids=['interim answers', 'header lines', 'body', 'small chunks', 'extra'],
+)
+@pytest.mark.parametrize('unsafe', [False, True])
+async def test_little_is_taken_of_an_answer_without_end(
+    reply, result_type, unsafe
+):
+    target = RawTarget(plan=lambda *_: reply)
+    async with await start_server(target.serve, '127.0.0.1', 0) as server:
+        port = server.sockets[0].getsockname()[1]
+        client = TargetClient(address=f'127.0.0.1:{port}')
+        results = await gather(
+            *(
+                client.exchange(
+                    Request(
+                        request_id=f'r{number}',
+                        service='s',
+                        kind='k',
+                        caller='c',
+                        method='PUT',
+                        path='/x',
+                    ),
+                    OPTIONS,
+                    unsafe=unsafe,
+                )
+                for number in range(10)
+            )
+        )
+        assert {type(result) for result in results} == {result_type}
+        assert max(target.endless_bytes, default=0) <= MAX_TAKEN_BYTES
+        await client.close()
