Only an answer that was served lifts a rate limit

What callers saw: nothing; found by reading, the contract does not say that refusals and errors name the limit, too. Cause: a refusal without the header lifted the limit. Change: only an answer to a request that ran without an error lifts it. Result: the test fails before (lifted by a refused request) and passes now.

--- a/carawaylane/gateway/dispatch.py
+++ b/carawaylane/gateway/dispatch.py
@@ -288,16 +288,25 @@
         )
 
     def record_rate_limit(
-        self, slot: GrantedSlot, rate_limit: RateLimit, sent_at_s: float
+        self,
+        slot: GrantedSlot,
+        rate_limit: RateLimit,
+        sent_at_s: float,
+        *,
+        may_lift: bool,
     ) -> RateLimitNotice | None:
         """Record what an answer said of the limit of its target.
 
-        Returns the notice for the home, None if the limit is not valid.
+        Returns the notice for the home, None if the answer says nothing. One
+        that names no limit lifts it only if the target ran the request
+        without an error: a target in need may refuse requests otherwise.
         """
         target = slot.grant.target
         if isinstance(rate_limit, InvalidRateLimit):
             emit(RATE_LIMIT_INVALID, target=target, limit=rate_limit.text)
             return None
+        if rate_limit is None and not may_lift:
+            return None
         heard = self._rate_limits[slot.service]
         before = heard.rate_of(target)
         notice = heard.record_answer(
--- a/carawaylane/gateway/forwarding.py
+++ b/carawaylane/gateway/forwarding.py
@@ -327,7 +327,10 @@
         notice = None
         if isinstance(exchange_result, CompleteAnswer | RefusedByTarget):
             notice = self._slot_client.record_rate_limit(
-                attempt.slot, exchange_result.rate_limit, attempt.started_at_s
+                attempt.slot,
+                exchange_result.rate_limit,
+                attempt.started_at_s,
+                may_lift=result is Result.ANSWERED,
             )
         self._report_result(attempt, result, notice)
         self._log_failure(state, attempt, exchange_result, result)
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -121,3 +121,20 @@
     assert {(await fetch(node, '/read/x')).status for node in nodes} == {200}
     sent, served = await send_load(nodes, load_s=1.0)
     assert served == sent
+
+
+async def test_a_refused_request_does_not_lift_a_limit(fleet):
+    """A target may name its limit in the answers that it serves only."""
+    fleet.store.put('config', 'main', plan_spec())
+    named = OK.replace(b'\r\n', b'\r\nServer-Limit: 1000\r\n', 1)
+    replies = [Reply(data=named), Reply(data=SHED), Reply()]
+    await fleet.start_target('limited', lambda n, _: replies[min(n, 3) - 1])
+    node = await fleet.start_node('n1')
+    heard = node.find('dispatch')._rate_limits['stock']
+    limits = []
+    for number in range(3):
+        await sleep(0.01)
+        response = await fetch(node, '/write/x', method='POST')
+        assert response.status == (503 if number == 1 else 200)
+        limits.append(heard.rate_of('limited'))
+    assert limits == [1000, 1000, None]
