Log which peer sent a request

Cause: a request that a peer sent could not be followed from its id. Change: request-relayed names the request, the peer and what it said; a peer that was lost in a call is no longer taken for a proven one.

--- a/carawaylane/decisions/failure_estimate.py
+++ b/carawaylane/decisions/failure_estimate.py
@@ -57,7 +57,7 @@
     OVERDUE = 6
     # The caller left, or another target answered first.
     CANCELLED = 7
-    # The entry did not use the slot, or it reaches no target at all.
+    # The entry did not use the slot, or its way to the target failed.
     UNUSED = 8
 
 
--- a/carawaylane/decisions/target_paths.py
+++ b/carawaylane/decisions/target_paths.py
@@ -91,12 +91,11 @@
             return self.rng.choice(proven)
         return self.rng.choice(usable or candidates) if candidates else None
 
-    def record_sent(self, member: str, now_s: float) -> None:
-        """Record that a peer reached a target."""
-        self._avoided_until_s.pop(member, None)
-        self._proven_until_s[member] = now_s + PEER_PROVEN_S
-
-    def record_not_sent(self, member: str, now_s: float) -> None:
-        """Record that a peer could not be asked, or reaches no target."""
-        self._proven_until_s.pop(member, None)
-        self._avoided_until_s[member] = now_s + PEER_AVOIDANCE_S
+    def record_result(self, member: str, now_s: float, *, sent: bool) -> None:
+        """Record whether a peer could send a request to a target."""
+        if sent:
+            self._avoided_until_s.pop(member, None)
+            self._proven_until_s[member] = now_s + PEER_PROVEN_S
+        else:
+            self._proven_until_s.pop(member, None)
+            self._avoided_until_s[member] = now_s + PEER_AVOIDANCE_S
--- a/carawaylane/gateway/target_paths.py
+++ b/carawaylane/gateway/target_paths.py
@@ -27,7 +27,12 @@
     NeverSent,
     RefusedByTarget,
 )
-from carawaylane.telemetry.events import PATHS_BACK, PATHS_LOST, emit
+from carawaylane.telemetry.events import (
+    PATHS_BACK,
+    PATHS_LOST,
+    REQUEST_RELAYED,
+    emit,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -145,20 +150,20 @@
                 pack_relay_request(target, address, request, left_s),
                 left_s + RELAY_MARGIN_S,
             )
-            if isinstance(reply, NotRelayed):
-                self._peers.record_not_sent(member, self.kernel.now_s())
-                continue
+            result = _relay_result(reply)
+            emit(
+                REQUEST_RELAYED,
+                request=request.request_id,
+                target=target,
+                member=member,
+                result=type(result).__name__,
+                reason=getattr(result, 'reason', ''),
+            )
             self._metrics.count('relayed_requests', way='out')
-            if reply is None:
-                return BrokenExchange(reason='a peer was lost', own_path=True)
-            result = unpack_relay_reply(reply)
-            if getattr(result, 'own_path', False):
-                self._peers.record_not_sent(member, self.kernel.now_s())
-                if isinstance(result, NeverSent):
-                    continue
+            sent = not getattr(result, 'own_path', False)
+            self._peers.record_result(member, self.kernel.now_s(), sent=sent)
+            if sent or not isinstance(result, NeverSent):
                 return result
-            self._peers.record_sent(member, self.kernel.now_s())
-            return result
         return NeverSent(reason='no path to the target', own_path=True)
 
     # Requests of peers
@@ -295,3 +300,12 @@
             )
         )
         return any(reply and reply.addresses for reply in replies)
+
+
+def _relay_result(reply: RelayReply | NotRelayed | None) -> ExchangeResult:
+    """Return what a peer's reply to a relayed request says of it."""
+    if reply is None:
+        return BrokenExchange(reason='a peer was lost', own_path=True)
+    if isinstance(reply, NotRelayed):
+        return NeverSent(reason=reply.reason, own_path=True)
+    return unpack_relay_reply(reply)
--- a/carawaylane/services/targets.py
+++ b/carawaylane/services/targets.py
@@ -85,7 +85,7 @@
 class NeverSent:
     """No byte of the request was sent, so it did not run.
 
-    `own_path` is set if this node reaches no target at all.
+    `own_path` is set if the way to the target failed, not the target.
     """
 
     reason: str
@@ -113,7 +113,7 @@
     """The exchange failed after sending began: the request may have run.
 
     `mismatched` is set if the answer belongs to another request, `own_path`
-    if this node reaches no target at all.
+    if the way to the target failed, not the target.
     """
 
     reason: str
--- a/carawaylane/telemetry/events.py
+++ b/carawaylane/telemetry/events.py
@@ -251,6 +251,12 @@
 PATHS_BACK = _declare_event(
     505, 'paths-back', _INFO, 'The node reaches targets again.'
 )
+REQUEST_RELAYED = _declare_event(
+    506,
+    'request-relayed',
+    _INFO,
+    'A node that is cut off let a peer send a request.',
+)
 
 
 class JsonFormatter(std_logging.Formatter):
--- a/tests/decisions/test_target_paths.py
+++ b/tests/decisions/test_target_paths.py
@@ -66,16 +66,16 @@
 def test_proven_peers_are_asked_once_there_are_enough():
     peers = RelayPeers(rng=Random(1))
     for member in MEMBERS[: MIN_PROVEN_PEERS - 1]:
-        peers.record_sent(member, 0.0)
+        peers.record_result(member, 0.0, sent=True)
     assert choose_many(peers, 0.0) == set(MEMBERS)
-    peers.record_sent(MEMBERS[MIN_PROVEN_PEERS], 0.0)
+    peers.record_result(MEMBERS[MIN_PROVEN_PEERS], 0.0, sent=True)
     assert len(choose_many(peers, 0.0)) == MIN_PROVEN_PEERS
     assert choose_many(peers, PEER_PROVEN_S) == set(MEMBERS)
 
 
 def test_a_peer_that_could_not_send_is_avoided_for_a_while():
     peers = RelayPeers(rng=Random(1))
-    peers.record_not_sent('n0', 0.0)
+    peers.record_result('n0', 0.0, sent=False)
     assert choose_many(peers, 0.0) == set(MEMBERS) - {'n0'}
     assert choose_many(peers, PEER_AVOIDANCE_S) == set(MEMBERS)
 
@@ -83,6 +83,6 @@
 def test_peers_that_are_avoided_are_asked_if_there_is_no_other():
     peers = RelayPeers(rng=Random(1))
     for member in MEMBERS:
-        peers.record_not_sent(member, 0.0)
+        peers.record_result(member, 0.0, sent=False)
     assert choose_many(peers, 0.0, tried=MEMBERS[1:]) == {'n0'}
     assert peers.choose(MEMBERS, set(MEMBERS), 0.0) is None
