Find the few nodes that reach targets when most are cut off

Cause: a check asked five peers, which are all cut off in 59 of 100 cases, and then took the targets for down; a cut-off node asked unproven peers three times before it gave up, although it knew one that works. Change: a check asks 25 more peers if none of five reaches a target, and what peers say proves them; after a peer that could not send, any proven one is asked. Result: five cases of one peer in 24 that reaches targets and one of proven peers fail before and pass now.

--- a/carawaylane/decisions/target_paths.py
+++ b/carawaylane/decisions/target_paths.py
@@ -16,7 +16,7 @@
 
 # A peer that could not send a request is passed over for this time.
 PEER_AVOIDANCE_S = 3.0
-# A peer that sent a request is asked again for this time, while there are
+# A peer that reached a target is asked first for this time, while there are
 # MIN_PROVEN_PEERS of them, so that the requests are spread.
 PEER_PROVEN_S = 5.0
 MIN_PROVEN_PEERS = 3
@@ -73,7 +73,10 @@
     def choose(
         self, members: Iterable[str], tried: set[str], now_s: float
     ) -> str | None:
-        """Return a peer to ask, or None if all have been tried."""
+        """Return a peer to ask, or None if all have been tried.
+
+        After a peer that could not send, any proven one is asked first.
+        """
         candidates = [member for member in members if member not in tried]
         usable = [
             member
@@ -85,9 +88,7 @@
             for member in usable
             if self._proven_until_s.get(member, 0.0) > now_s
         ]
-        if len(proven) >= MIN_PROVEN_PEERS or (
-            proven and len(proven) == len(usable)
-        ):
+        if len(proven) >= (1 if tried else MIN_PROVEN_PEERS):
             return self.rng.choice(proven)
         return self.rng.choice(usable or candidates) if candidates else None
 
--- a/carawaylane/gateway/target_paths.py
+++ b/carawaylane/gateway/target_paths.py
@@ -40,12 +40,14 @@
     from carawaylane.gateway.exchanges import ExchangeResult
     from carawaylane.kernel.kernel import Kernel
     from carawaylane.messages.exchange import OutgoingRequest
+    from carawaylane.messages.platform_objects import Member
     from carawaylane.rpc.fleet_pb2 import RelayRequest
 
 # How many targets a check connects to, and how many peers it asks if none of
-# these accepts.
+# these accepts: a few, and more of them if none of the few reaches a target,
+# as most nodes may be cut off.
 CHECKED_TARGETS = 2
-CHECKING_PEERS = 5
+CHECKING_PEERS = (5, 25)
 # Minimum interval between checks while answers are late.
 CHECK_INTERVAL_S = 0.25
 # Interval at which a node that is cut off tries to reach targets again.
@@ -137,12 +139,12 @@
         request: OutgoingRequest,
         deadline_s: float,
     ) -> ExchangeResult:
-        tried = {self.kernel.cfg.name}
+        own_name = self.kernel.cfg.name
+        peers = [name for name in self._directory.members if name != own_name]
+        tried: set[str] = set()
         for _ in range(MAX_RELAYS):
             left_s = deadline_s - self.kernel.now_s() - RELAY_MARGIN_S
-            member = self._peers.choose(
-                self._directory.members, tried, self.kernel.now_s()
-            )
+            member = self._peers.choose(peers, tried, self.kernel.now_s())
             if member is None or left_s <= 0:
                 break
             tried.add(member)
@@ -288,21 +290,29 @@
 
     async def _peer_reaches_any(self, addresses: list[str]) -> bool:
         """Return whether a peer can connect to one of some targets."""
-        peers = [
-            member.address
+        members = [
+            member
             for name, member in self._directory.members.items()
             if name != self.kernel.cfg.name
         ]
-        peers = self.kernel.rng.sample(peers, min(CHECKING_PEERS, len(peers)))
-        replies = await gather(
-            *(
-                self._links.call(
-                    peer, 'Reach', ReachRequest(addresses=addresses)
-                )
-                for peer in peers
+        self.kernel.rng.shuffle(members)
+        msg = ReachRequest(addresses=addresses)
+        for count in CHECKING_PEERS:
+            asked, members = members[:count], members[count:]
+            reached = await gather(
+                *(self._peer_reaches(member, msg) for member in asked)
             )
+            if any(reached):
+                return True
+        return False
+
+    async def _peer_reaches(self, member: Member, msg: ReachRequest) -> bool:
+        reply = await self._links.call(member.address, 'Reach', msg)
+        reached = reply is not None and bool(reply.addresses)
+        self._peers.record_result(
+            member.name, self.kernel.now_s(), sent=reached
         )
-        return any(reply and reply.addresses for reply in replies)
+        return reached
 
 
 def _relay_result(reply: RelayReply | NotRelayed | None) -> ExchangeResult:
--- a/tests/decisions/test_target_paths.py
+++ b/tests/decisions/test_target_paths.py
@@ -86,3 +86,10 @@
         peers.record_result(member, 0.0, sent=False)
     assert choose_many(peers, 0.0, tried=MEMBERS[1:]) == {'n0'}
     assert peers.choose(MEMBERS, set(MEMBERS), 0.0) is None
+
+
+def test_a_proven_peer_is_asked_after_one_that_could_not_send():
+    peers = RelayPeers(rng=Random(1))
+    peers.record_result('n5', 0.0, sent=True)
+    assert choose_many(peers, 0.0) == set(MEMBERS)
+    assert choose_many(peers, 0.0, tried=['n1']) == {'n5'}
--- a/tests/gateway/test_target_paths.py
+++ b/tests/gateway/test_target_paths.py
@@ -7,6 +7,7 @@
 from random import Random
 from types import SimpleNamespace
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -52,15 +53,21 @@
 class FakeWorld:
     """Other services, whose calls fail as they are told to."""
 
-    def __init__(self, *, direct, relays, reached, reached_by_peer):
+    def __init__(
+        self, *, direct, relays, reached, reached_by_peer, members=MEMBERS
+    ):
         self._direct = direct
         self._relays = list(relays)
         self._reached = reached
         self._reached_by_peer = reached_by_peer
         self.sent = 0
+        self.relayed_to = []
+        # The only peer that reaches targets if most do not.
+        self.reaching_address = ''
         self.metrics = Metrics()
         self.members = {
-            name: SimpleNamespace(address=f'{name}:1') for name in MEMBERS
+            name: SimpleNamespace(name=name, address=f'{name}:1')
+            for name in members
         }
         self.targets = {
             f't{number}': SimpleNamespace(address=f't{number}:1')
@@ -78,11 +85,15 @@
     def close_idle(self):
         pass
 
-    async def call(self, _address, _method, msg):
+    async def call(self, address, _method, msg):
         await sleep(0)
-        return msg if self._reached_by_peer else None
+        reached = self._reached_by_peer or address == self.reaching_address
+        return msg if reached else None
 
-    async def relay(self, *_args):
+    async def relay(self, address, *_args):
+        self.relayed_to.append(address)
+        if self.reaching_address not in ('', address):
+            return pack_relay_reply(RESULTS[-1][0])
         way, (result, sent) = self._relays.pop()
         if way == 'not relayed':
             return NotRelayed(reason='refused')
@@ -92,9 +103,9 @@
         return None if way == 'lost after' else pack_relay_reply(result)
 
 
-async def exchange_in(world, *, cut_off_before):
+async def exchange_in(world, *, cut_off_before, seed=1):
     cfg = SimpleNamespace(name='n0')
-    kernel = Kernel(cfg=cfg, rng=Random(1))
+    kernel = Kernel(cfg=cfg, rng=Random(seed))
     kernel.find = lambda _name: world
     paths = TargetPathsService(kernel=kernel)
     await paths.start()
@@ -179,3 +190,19 @@
     for node in nodes:
         assert (await fetch(node, '/write/x', method='POST')).status == 503
         assert not node.find('target_paths').paths.cut_off
+
+
+@pytest.mark.parametrize('seed', range(5))
+def test_the_only_peer_that_reaches_targets_is_found(seed):
+    """More nodes are cut off than are asked at first."""
+    world = FakeWorld(
+        direct=(NeverSent(reason='refused'), False),
+        relays=[('reply', RESULTS[0])],
+        reached=False,
+        reached_by_peer=False,
+        members=[f'n{number}' for number in range(25)],
+    )
+    world.reaching_address = 'n24:1'
+    result = run(exchange_in(world, cut_off_before=False, seed=seed))
+    assert isinstance(result, CompleteAnswer)
+    assert world.relayed_to[-1] == 'n24:1'
