Tell a restarted home of rate limits with the next request

What callers saw: nothing; found by reading. A home whose process restarts under its name forgets the limits. An entry that had told it less than a second before told it nothing with its next requests, which the home then granted without a limit; a limit that was new was held back in the same way. Change: an entry reports all limits again after its stream to a home ended, and at once when a limit is new or has changed. Result: two tests fail before (the home knows no limit) and pass now.

--- a/carawaylane/decisions/rate_limits.py
+++ b/carawaylane/decisions/rate_limits.py
@@ -23,8 +23,7 @@
 # A limit that no answer has named for this long is forgotten. Much less
 # traffic than that reaches each limited target.
 MEMORY_S = 600.0
-# An entry repeats the limits that it knows to a home at this interval, as the
-# home may have restarted.
+# An entry repeats the limits that it knows to a home at this interval.
 REPORT_PERIOD_S = 1.0
 # Requests that a limit allows may be sent up to this much later.
 BURST_S = 1.0
@@ -35,11 +34,15 @@
 
 @frozen(kw_only=True)
 class _HeardLimit:
-    """A limit, and when the last answer that named it was asked and came."""
+    """A limit, and when the last answer that named it was asked and came.
+
+    `new_at_s` is when the first answer came that named this limit.
+    """
 
     rate_per_s: float
     sent_at_s: float
     heard_at_s: float
+    new_at_s: float
 
 
 @define(kw_only=True)
@@ -70,8 +73,14 @@
         """
         heard = self._by_target.get(target)
         if rate_per_s is not None:
+            new_at_s = now_s
+            if heard is not None and heard.rate_per_s == rate_per_s:
+                new_at_s = heard.new_at_s
             self._by_target[target] = _HeardLimit(
-                rate_per_s=rate_per_s, sent_at_s=sent_at_s, heard_at_s=now_s
+                rate_per_s=rate_per_s,
+                sent_at_s=sent_at_s,
+                heard_at_s=now_s,
+                new_at_s=new_at_s,
             )
         elif heard is not None and sent_at_s >= heard.heard_at_s:
             del self._by_target[target]
@@ -86,7 +95,12 @@
     ) -> tuple[RateLimitNotice, ...]:
         """Return the limits that a home has to be told of now."""
         reported_at_s = self._reported_at_s.get(home, float('-inf'))
-        if not self._by_target or now_s - reported_at_s < REPORT_PERIOD_S:
+        newest_s = max(
+            (heard.new_at_s for heard in self._by_target.values()),
+            default=float('-inf'),
+        )
+        due = now_s - reported_at_s >= REPORT_PERIOD_S
+        if not self._by_target or not (due or newest_s > reported_at_s):
             return ()
         self._reported_at_s[home] = now_s
         self._by_target = {
@@ -104,6 +118,10 @@
             for target, heard in self._by_target.items()
         )
 
+    def forget_reports_to(self, home: str) -> None:
+        """Tell a home everything again: it may have restarted."""
+        self._reported_at_s.pop(home, None)
+
 
 @define(kw_only=True)
 class _LimitedTarget:
--- a/carawaylane/gateway/dispatch.py
+++ b/carawaylane/gateway/dispatch.py
@@ -365,6 +365,8 @@
             entry=self.kernel.member, data_centre=self.kernel.cfg.data_centre
         )
         await stream.run(self, hello)
+        for heard in self._rate_limits.values():
+            heard.forget_reports_to(home.member)
         if home.stream is not stream:
             return
         for ticket in home.drop_requests():
--- a/tests/decisions/test_rate_limits.py
+++ b/tests/decisions/test_rate_limits.py
@@ -137,6 +137,27 @@
     assert heard.report_to('h1', 5.0) == ()
 
 
+def test_a_home_is_told_of_a_new_limit_at_once():
+    heard = HeardRateLimits()
+    heard.record_answer(LIMITED, 2.0, 0.0, 0.0)
+    assert len(heard.report_to('h1', 0.1)) == 1
+    heard.record_answer(LIMITED, 2.0, 0.1, 0.2)
+    assert heard.report_to('h1', 0.3) == ()
+    heard.record_answer('t1', 3.0, 0.3, 0.4)
+    assert len(heard.report_to('h1', 0.5)) == 2
+    heard.record_answer(LIMITED, 1.0, 0.5, 0.6)
+    assert len(heard.report_to('h1', 0.7)) == 2
+
+
+def test_a_home_that_may_have_restarted_is_told_of_all_limits():
+    heard = HeardRateLimits()
+    heard.record_answer(LIMITED, 2.0, 0.0, 0.0)
+    assert len(heard.report_to('h1', 0.1)) == 1
+    assert heard.report_to('h1', 0.2) == ()
+    heard.forget_reports_to('h1')
+    assert len(heard.report_to('h1', 0.2)) == 1
+
+
 def one_home(_entry, _now_s):
     return 'h0'
 
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -138,3 +138,36 @@
         assert response.status == (503 if number == 1 else 200)
         limits.append(heard.rate_of('limited'))
     assert limits == [1000, 1000, None]
+
+
+async def test_a_home_that_restarts_is_told_of_a_limit_with_the_next_request(
+    fleet,
+):
+    """It has forgotten the limit, which the entry told it a moment ago."""
+    nodes = await start_nodes(fleet)
+    # The last request gets no answer that would tell the home.
+    limited = await fleet.start_target(
+        'limited', lambda number, _: Reply(hang=number > 3), slots=4
+    )
+    limited.rate_limit_per_s = 1000
+    for node in nodes:
+        targets = node.find('directory').targets
+        await fleet.wait_until(lambda t=targets: len(t) == 1)
+    home, entry = (
+        [node for node in nodes if node.cfg.name == name][0]
+        for name in nodes[0].find('directory').ranked_members('stock')[:2]
+    )
+    for _ in range(2):
+        await fetch(entry, '/write/x', method='POST')
+    await sleep(1.0)
+    await fetch(entry, '/write/x', method='POST')
+    await sleep(0.1)
+    # As if its process had ended: its state and its connections are gone.
+    home.find('dispatchers').dispatchers.clear()
+    entry.find('dispatch')._remote_homes[home.cfg.name].stream.close()
+    await sleep(0.1)
+    await fetch(entry, '/write/x', method='POST')
+    dispatcher = home.find('dispatchers').dispatchers['stock']
+    limits = dispatcher.pool.rate_limits
+    assert len(limited.requests) == 4
+    assert limits.rate_of('limited', home.now_s()) <= 1000
