Check the paths only after answers that are really late

Cause: a check began with the first report that an answer was late, which is due when a third of healthy answers take longer, and opened two connections. Change: a check waits until an answer is 0.6 s late and opens one connection first.

--- a/carawaylane/gateway/target_paths.py
+++ b/carawaylane/gateway/target_paths.py
@@ -48,8 +48,10 @@
 # as most nodes may be cut off.
 CHECKED_TARGETS = 2
 CHECKING_PEERS = (5, 25)
-# Minimum interval between checks while answers are late.
-CHECK_INTERVAL_S = 0.25
+# An answer that is this late starts a check, if no target has answered since
+# the request was sent. Most answers come sooner, and a check costs a
+# connection.
+SILENCE_S = 0.6
 # Interval at which a node that is cut off tries to reach targets again.
 RECOVERY_PERIOD_S = 0.5
 # Number of peers that are asked to send a request.
@@ -70,7 +72,6 @@
         self.paths = TargetPaths()
         self._peers = RelayPeers(rng=kernel.rng)
         self._check: Task[None] | None = None
-        self._checked_at_s = float('-inf')
         # Requests in flight that this node sends for peers.
         self.relayed_requests = 0
 
@@ -210,11 +211,11 @@
     # Checks
 
     def check_if_silent(self, since_s: float) -> None:
-        """Check the paths if no target has answered since a time."""
+        """Check the paths if no target has answered for some time."""
         if (
-            self.paths.silent_since(since_s)
+            self.kernel.now_s() - since_s >= SILENCE_S
+            and self.paths.silent_since(since_s)
             and not self.paths.cut_off
-            and self.kernel.now_s() - self._checked_at_s >= CHECK_INTERVAL_S
         ):
             self._start_check(None)
 
@@ -231,9 +232,16 @@
         return self._check
 
     async def _check_paths(self, failed_address: str | None) -> None:
-        self._checked_at_s = self.kernel.now_s()
+        """Find out whether this node, or a peer, reaches targets.
+
+        A failed connection is tried elsewhere at once; after a late answer one
+        connection mostly shows that nothing is wrong.
+        """
         addresses = self._some_addresses(failed_address)
-        reached = await self._reaches_any(addresses)
+        reached = False
+        if failed_address is None:
+            reached = await self._reaches_any(addresses[:1])
+        reached = reached or await self._reaches_any(addresses)
         reached_by_peer = False
         if not reached and addresses:
             reached_by_peer = await self._peer_reaches_any(addresses)
