Close a channel to a peer only after its last call

Cause: the calls to a peer share a channel, and any call that failed closed it. A call that waited over 250 ms for the connection on a busy host, or a Sync without a reply in 500 ms, thereby ended the calls of others, which then had no proof that their request had not run.

Ruled out: a slow target. Relayed requests already kept the channel open after later replies; the trace showed the connect timeout.

Change: ChannelPool counts the calls of each channel. A failed call retires the channel: the next call opens a new one, and the last call closes the old one.

--- a/carawaylane/gateway/links.py
+++ b/carawaylane/gateway/links.py
@@ -14,6 +14,7 @@
 )
 from h2.exceptions import H2Error
 
+from carawaylane.gateway.channels import ChannelPool
 from carawaylane.kernel.service import Service, service
 from carawaylane.rpc.connections import closed_connection_is_reset
 from carawaylane.rpc.fleet_codec import unpack_slot_reply
@@ -132,29 +133,23 @@
 
     def __init__(self, *, kernel: Kernel) -> None:
         super().__init__(kernel=kernel)
-        self._channels: dict[str, Channel] = {}
+        self._channels = ChannelPool()
 
     async def stop(self) -> None:
         """Close the channels."""
         await super().stop()
-        for channel in self._channels.values():
-            channel.close()
+        self._channels.close()
 
     async def call(self, address: str, method: str, msg: Message) -> Any:
         """Call a method of a peer; return None if it fails or times out."""
-        channel = self._channels.get(address)
-        if channel is None:
-            host, _, port = address.rpartition(':')
-            channel = Channel(host, int(port))
-            self._channels[address] = channel
-        try:
-            async with timeout(CALL_TIMEOUT_S):
-                with closed_connection_is_reset():
-                    return await getattr(FleetStub(channel), method)(msg)
-        except RPC_ERRORS as exc:
-            # The connection may be half-open; the next call opens a new one.
-            if self._channels.get(address) is channel:
-                del self._channels[address]
-            channel.close()
-            emit(LINK_LOST, member=address, method=method, error=repr(exc))
-            return None
+        with self._channels.use(address) as shared:
+            try:
+                async with timeout(CALL_TIMEOUT_S):
+                    with closed_connection_is_reset():
+                        stub = FleetStub(shared.channel)
+                        return await getattr(stub, method)(msg)
+            except RPC_ERRORS as exc:
+                # The connection may be half-open.
+                self._channels.retire(shared)
+                emit(LINK_LOST, member=address, method=method, error=repr(exc))
+                return None
--- a/tests/gateway/test_links.py
+++ b/tests/gateway/test_links.py
@@ -15,7 +15,7 @@
     channels = PeerChannels(kernel=None)
     first = create_task(channels.call(address, 'Sync', SyncRequest()))
     await sleep(0.05)
-    channel = channels._channels[address]
+    channel = channels._channels._by_address[address].channel
     protocol = channel._protocol
     # As the event loop does if the peer does not read.
     protocol.pause_writing()
