--- a/standins/raw_target.py
+++ b/standins/raw_target.py
@@ -48,7 +48,8 @@
     It records the bytes of each request. `aborted_requests` counts requests
     that hung until the client closed the connection; `close` stops
     listening; whoever starts the server sets it. Each answer names
-    `rate_limit_per_s`, if it is set.
+    `rate_limit_per_s`, if it is set, and says that the target leaves while
+    `leaving` is set.
     """
 
     plan: Callable[[int, bytes], Reply] = lambda _number, _data: Reply()
@@ -59,6 +60,7 @@
     # Bytes of each endless answer that the client has taken.
     endless_bytes: list[int] = Factory(list)
     rate_limit_per_s: float | None = None
+    leaving: bool = False
     close: Callable[[], None] = lambda: None
 
     async def serve(self, reader: StreamReader, writer: StreamWriter) -> None:
@@ -93,6 +95,9 @@
         if self.rate_limit_per_s is not None:
             header = f'\r\nServer-Limit: {self.rate_limit_per_s}\r\n'
             answer = answer.replace(b'\r\n', header.encode(), 1)
+        if self.leaving:
+            header = '\r\nServer-Leaving: 1\r\n'
+            answer = answer.replace(b'\r\n', header.encode(), 1)
         writer.write(answer)
         if reply.endless:
             await self._send_endless(reply.endless, writer)
