--- a/carawaylane/decisions/dispatcher.py
+++ b/carawaylane/decisions/dispatcher.py
@@ -82,6 +82,9 @@
 MIN_RETRY_AFTER_S = 0.05
 NO_TARGET_RETRY_S = 0.5
 QUARANTINE_RETRY_S = 60.0
+# Callers that are refused until a pause ends come back up to this share of it
+# later, not all at once.
+PAUSE_RETRY_SPREAD = 0.25
 # A target that is unreachable within this time after a connection broke during
 # an exchange has crashed. A request that crashed MAX_VICTIMS targets is
 # quarantined.
@@ -112,6 +115,7 @@
 
     def __init__(self, *, service: str, bounds: Bounds, rng: Random) -> None:
         self.service = service
+        self._rng = rng
         self.quarantine = Quarantine(max_victims=MAX_VICTIMS)
         self._queue: list[_QueuedRequest] = []
         self._mean_exchange_s = INITIAL_EXCHANGE_S
@@ -143,8 +147,8 @@
         self.retry_budget.record_report(
             request.entry, request.recent_attempts, now_s
         )
-        for notice in request.rate_limits:
-            self.pool.apply_rate_limit(notice, now_s)
+        for notice in request.notices:
+            self.pool.apply_notice(notice, request.entry, now_s)
         refusal = self._immediate_refusal(request, now_s)
         if refusal is not None:
             return refusal
@@ -156,7 +160,7 @@
                 return grant
         if request.attempt is AttemptKind.HEDGE:
             return self._queue_hedge(request, now_s)
-        wait_s = self._expected_wait_s(ahead, now_s)
+        wait_s = self._expected_wait_s(request, ahead, now_s)
         limit_s = min(request.left_s, self._queue_limit_s(request, ahead))
         if wait_s + MIN_WORK_SHARE * self._mean_exchange_s > limit_s:
             return self._grant_or_refuse(request, ahead, wait_s, now_s)
@@ -166,7 +170,7 @@
         """Queue a hedge as if it came HEDGE_LEAD_S ago, or refuse it."""
         queued_at_s = now_s - HEDGE_LEAD_S
         wait_s = self._expected_wait_s(
-            self._count_ahead(request.priority, queued_at_s), now_s
+            request, self._count_ahead(request.priority, queued_at_s), now_s
         )
         if wait_s + MIN_WORK_SHARE * self._mean_exchange_s > request.left_s:
             return self._refuse(request, 0.0, 'no free slot for a hedge')
@@ -325,16 +329,22 @@
             return self._refuse(
                 request, QUARANTINE_RETRY_S, 'the request crashes targets'
             )
-        if not any(target.is_open() for target in self.pool.targets.values()):
-            return self._refuse(
-                request, NO_TARGET_RETRY_S, 'no target is known'
-            )
+        if not self.pool.has_open_target(request.avoided_targets):
+            return self._refuse_without_target(request)
         if request.attempt.is_retry and not self.retry_budget.allows_retry(
             now_s
         ):
             return self._refuse(request, 1.0, 'the retry budget is spent')
         return None
 
+    def _refuse_without_target(self, request: SlotRequest) -> Refusal:
+        if self.pool.has_open_target():
+            return self._refuse(request, 0.0, 'all targets were tried')
+        reason = 'no target is known'
+        if self.pool.targets:
+            reason = 'all targets are leaving'
+        return self._refuse(request, NO_TARGET_RETRY_S, reason)
+
     def _try_grant(
         self,
         request: SlotRequest,
@@ -410,7 +420,7 @@
         grant = self._try_grant(request, now_s, now_s - queued.queued_at_s)
         if grant is not None:
             return grant
-        wait_s = self._expected_wait_s(ahead, now_s)
+        wait_s = self._expected_wait_s(request, ahead, now_s)
         if left_s < wait_s + MIN_WORK_SHARE * self._mean_exchange_s:
             return self._grant_or_refuse(request, ahead, wait_s, now_s)
         return None
@@ -428,6 +438,12 @@
             )
             if grant is not None:
                 return grant
+        pause_left_s = self.pool.pause_left_s(request, now_s)
+        if pause_left_s > 0:
+            spread = 1 + PAUSE_RETRY_SPREAD * self._rng.random()
+            return self._refuse(
+                request, pause_left_s * spread, 'all targets asked for a pause'
+            )
         return self._refuse(request, wait_s, 'no slot in time')
 
     def _queue_limit_s(self, request: SlotRequest, ahead: int) -> float:
@@ -448,14 +464,20 @@
             for queued in self._queue
         )
 
-    def _expected_wait_s(self, ahead: int, now_s: float) -> float:
-        """Return the expected wait behind a number of queued requests."""
+    def _expected_wait_s(
+        self, request: SlotRequest, ahead: int, now_s: float
+    ) -> float:
+        """Return the expected wait behind a number of queued requests.
+
+        It lasts at least until a target takes requests of the entry.
+        """
         if self._usable_slots_at_s != now_s:
             self._usable_slots, self._usable_slots_at_s = (
                 self.pool.count_usable_slots(now_s, self._mean_exchange_s),
                 now_s,
             )
-        return (ahead + 1) * self._mean_exchange_s / self._usable_slots
+        queue_wait_s = (ahead + 1) * self._mean_exchange_s / self._usable_slots
+        return max(queue_wait_s, self.pool.pause_left_s(request, now_s))
 
     def _refuse(
         self, request: SlotRequest, retry_after_s: float, reason: str
--- a/carawaylane/decisions/rate_limits.py
+++ b/carawaylane/decisions/rate_limits.py
@@ -12,19 +12,16 @@
 from math import ceil
 from typing import TYPE_CHECKING
 
-from attrs import Factory, define, frozen
+from attrs import define, frozen
 
-from carawaylane.messages.dispatch import RateLimitNotice
+from carawaylane.decisions.backpressure import MEMORY_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
     from random import Random
 
-# A limit that no answer has named for this long is forgotten. Much less
-# traffic than that reaches each limited target.
-MEMORY_S = 600.0
-# An entry repeats the limits that it knows to a home at this interval.
-REPORT_PERIOD_S = 1.0
+    from carawaylane.messages.dispatch import BackpressureNotice
+
 # Requests that a limit allows may be sent up to this much later.
 BURST_S = 1.0
 # A target that takes no requests gets one at this rate all the same, since
@@ -32,97 +29,6 @@
 MIN_RATE_PER_S = 0.2
 
 
-@frozen(kw_only=True)
-class _HeardLimit:
-    """A limit, and when the last answer that named it was asked and came.
-
-    `new_at_s` is when the first answer came that named this limit.
-    """
-
-    rate_per_s: float
-    sent_at_s: float
-    heard_at_s: float
-    new_at_s: float
-
-
-@define(kw_only=True)
-class HeardRateLimits:
-    """Limits in the answers that one entry got from targets of a service."""
-
-    _by_target: dict[str, _HeardLimit] = Factory(dict)
-    # By home: when it was last told of all limits.
-    _reported_at_s: dict[str, float] = Factory(dict)
-
-    def rate_of(self, target: str) -> float | None:
-        """Return the limit of a target, or None if it has named none."""
-        heard = self._by_target.get(target)
-        return heard.rate_per_s if heard is not None else None
-
-    def record_answer(
-        self,
-        target: str,
-        rate_per_s: float | None,
-        sent_at_s: float,
-        now_s: float,
-    ) -> RateLimitNotice:
-        """Record what an answer said of the limit of its target.
-
-        Returns the notice for the home. An answer without a limit lifts it
-        only if the request was sent after the limit was named: answers may
-        overtake each other.
-        """
-        heard = self._by_target.get(target)
-        if rate_per_s is not None:
-            new_at_s = now_s
-            if heard is not None and heard.rate_per_s == rate_per_s:
-                new_at_s = heard.new_at_s
-            self._by_target[target] = _HeardLimit(
-                rate_per_s=rate_per_s,
-                sent_at_s=sent_at_s,
-                heard_at_s=now_s,
-                new_at_s=new_at_s,
-            )
-        elif heard is not None and sent_at_s >= heard.heard_at_s:
-            del self._by_target[target]
-        return RateLimitNotice(
-            target=target,
-            rate_per_s=rate_per_s,
-            sent_age_s=now_s - sent_at_s,
-        )
-
-    def report_to(
-        self, home: str, now_s: float
-    ) -> tuple[RateLimitNotice, ...]:
-        """Return the limits that a home has to be told of now."""
-        reported_at_s = self._reported_at_s.get(home, float('-inf'))
-        newest_s = max(
-            (heard.new_at_s for heard in self._by_target.values()),
-            default=float('-inf'),
-        )
-        due = now_s - reported_at_s >= REPORT_PERIOD_S
-        if not self._by_target or not (due or newest_s > reported_at_s):
-            return ()
-        self._reported_at_s[home] = now_s
-        self._by_target = {
-            target: heard
-            for target, heard in self._by_target.items()
-            if now_s - heard.heard_at_s <= MEMORY_S
-        }
-        return tuple(
-            RateLimitNotice(
-                target=target,
-                rate_per_s=heard.rate_per_s,
-                sent_age_s=now_s - heard.sent_at_s,
-                heard_age_s=now_s - heard.heard_at_s,
-            )
-            for target, heard in self._by_target.items()
-        )
-
-    def forget_reports_to(self, home: str) -> None:
-        """Tell a home everything again: it may have restarted."""
-        self._reported_at_s.pop(home, None)
-
-
 @define(kw_only=True)
 class _LimitedTarget:
     """The limit of a target and the requests that it still allows.
@@ -165,8 +71,10 @@
         self._rng = rng
         self._by_target: dict[str, _LimitedTarget] = {}
 
-    def apply(self, notice: RateLimitNotice, now_s: float) -> None:
+    def apply(self, notice: BackpressureNotice, now_s: float) -> None:
         """Take over what an entry heard, unless newer answers said else."""
+        if not notice.names_rate:
+            return
         sent_at_s = now_s - notice.sent_age_s
         heard_at_s = now_s - notice.heard_age_s
         limited = self._by_target.get(notice.target)
--- a/carawaylane/decisions/target_pool.py
+++ b/carawaylane/decisions/target_pool.py
@@ -15,15 +15,20 @@
     FailureEstimate,
     LatencyModel,
 )
-from carawaylane.decisions.target_state import InFlightRequest, TargetState
+from carawaylane.decisions.target_state import (
+    InFlightRequest,
+    TargetState,
+    untried,
+)
 from carawaylane.decisions.usage_floor import UNTRIED_S, UsageFloor
+from carawaylane.decisions.withheld_targets import WithheldTargets
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Container, Iterable
 
     from carawaylane.decisions.rate_limits import SharedRateLimits
     from carawaylane.messages.dispatch import (
-        RateLimitNotice,
+        BackpressureNotice,
         SlotRequest,
         Ticket,
     )
@@ -76,6 +81,7 @@
         self._in_flight_by_entry: dict[str, dict[Ticket, InFlightRequest]] = (
             defaultdict(dict)
         )
+        self.withheld = WithheldTargets()
         # Cached for one point in time; None after a change.
         self._free: _FreeTargets | None = None
 
@@ -86,6 +92,7 @@
         for name in set(self.targets) - set(spec_by_name):
             del self.targets[name]
         self.rate_limits.forget_old(spec_by_name, now_s)
+        self.withheld.forget_old(spec_by_name, now_s)
         for name, spec in spec_by_name.items():
             target = self.targets.get(name)
             if target is None or target.spec.started_ms != spec.started_ms:
@@ -93,6 +100,7 @@
                     spec=spec,
                     estimate=FailureEstimate(at_s=now_s),
                     updated_at_s=now_s,
+                    leaving=self.withheld.is_leaving(spec),
                 )
                 continue
             if target.spec != spec:
@@ -125,10 +133,41 @@
         self.in_flight[request.ticket] = granted
         self._in_flight_by_entry[request.entry][request.ticket] = granted
 
-    def apply_rate_limit(self, notice: RateLimitNotice, now_s: float) -> None:
-        """Take over what an entry heard of the limit of a target."""
+    def apply_notice(
+        self, notice: BackpressureNotice, entry: str, now_s: float
+    ) -> None:
+        """Take over what a target asked of an entry."""
         self._free = None
         self.rate_limits.apply(notice, now_s)
+        self.withheld.apply(notice, entry, now_s)
+        target = self.targets.get(notice.target)
+        if target is not None:
+            target.leaving = self.withheld.is_leaving(target.spec)
+
+    def has_open_target(
+        self, avoided_targets: Container[str] = frozenset()
+    ) -> bool:
+        """Return whether a target other than some takes new requests."""
+        return any(
+            name not in avoided_targets and target.is_open()
+            for name, target in self.targets.items()
+        )
+
+    def pause_left_s(self, request: SlotRequest, now_s: float) -> float:
+        """Return how long all targets want nothing from an entry.
+
+        It is 0 if the entry may send to one that it has not tried.
+        """
+        return self.withheld.shortest_pause_s(
+            request.entry,
+            (
+                target.spec
+                for target in self.targets.values()
+                if target.is_open()
+                and target.spec.name not in request.avoided_targets
+            ),
+            now_s,
+        )
 
     def confirm(self, ticket: Ticket, now_s: float) -> None:
         """Record that an entry still waits for the answer of a target."""
@@ -231,11 +270,19 @@
     ) -> tuple[TargetState, float] | None:
         """Return the free target of lowest cost and its failure risk."""
         free = self._free_targets(now_s)
+        due, all_free = (
+            self.withheld.open_to(request.entry, targets, now_s)
+            for targets in (free.due, free.all)
+        )
         stuck_at = self._targets_where_stuck(request.entry, now_s)
-        candidates = self._reachable(free.due, request, stuck_at, now_s)
+        candidates = self._reachable(due, request, stuck_at, now_s)
         if not candidates:
-            reachable = self._reachable(free.all, request, stuck_at, now_s)
-            candidates = reachable or self._unreachable(free, request)
+            reachable = self._reachable(all_free, request, stuck_at, now_s)
+            candidates = (
+                reachable
+                or untried(due, request)
+                or untried(all_free, request)
+            )
         best: tuple[float, float, TargetState] | None = None
         for target in candidates:
             risk = self.failure_risk(target, now_s)
@@ -302,20 +349,6 @@
             and target.avoided_until_s.get(request.entry, 0.0) <= now_s
         ]
 
-    def _unreachable(
-        self, free: _FreeTargets, request: SlotRequest
-    ) -> list[TargetState]:
-        """Return the targets to try if the entry may reach none of them."""
-        due, others = (
-            [
-                target
-                for target in targets
-                if target.spec.name not in request.avoided_targets
-            ]
-            for targets in (free.due, free.all)
-        )
-        return due or others
-
     def _targets_where_stuck(self, entry: str, now_s: float) -> set[str]:
         """Return the targets where a request of an entry is stuck.
 
--- a/carawaylane/decisions/target_state.py
+++ b/carawaylane/decisions/target_state.py
@@ -60,6 +60,8 @@
     broken_at_s: dict[int, float] = Factory(dict)
     # Another target now has the address.
     replaced: bool = False
+    # The target said in an answer that it is about to stop.
+    leaving: bool = False
     # Probability that the target is failing at `cached_risk_at_s`; any new
     # evidence resets that time.
     cached_risk: float = 0.0
@@ -67,7 +69,7 @@
 
     def is_open(self) -> bool:
         """Return whether the target accepts new requests."""
-        return not self.spec.draining and not self.replaced
+        return not (self.spec.draining or self.replaced or self.leaving)
 
     def has_free_slot(self) -> bool:
         """Return whether fewer requests are in flight than there are slots."""
@@ -92,3 +94,14 @@
             del self.last_answer_by_entry_s[
                 next(iter(self.last_answer_by_entry_s))
             ]
+
+
+def untried(
+    targets: list[TargetState], request: SlotRequest
+) -> list[TargetState]:
+    """Return the targets that a request has not been sent to."""
+    return [
+        target
+        for target in targets
+        if target.spec.name not in request.avoided_targets
+    ]
--- a/carawaylane/gateway/daemon.py
+++ b/carawaylane/gateway/daemon.py
@@ -44,6 +44,7 @@
     'dispatchers': 'carawaylane.gateway.dispatchers',
     'fleet_rpc': 'carawaylane.gateway.fleet_rpc',
     'dispatch': 'carawaylane.gateway.dispatch',
+    'backpressure': 'carawaylane.gateway.backpressure',
     'exchanges': 'carawaylane.gateway.exchanges',
     'target_paths': 'carawaylane.gateway.target_paths',
     'forwarding': 'carawaylane.gateway.forwarding',
--- a/carawaylane/gateway/dispatch.py
+++ b/carawaylane/gateway/dispatch.py
@@ -8,13 +8,11 @@
 from __future__ import annotations
 
 from asyncio import Queue, timeout
-from collections import defaultdict
 from typing import TYPE_CHECKING, Protocol
 
 from attrs import Factory, define, evolve, frozen
 
 from carawaylane.decisions.failure_estimate import Result
-from carawaylane.decisions.rate_limits import HeardRateLimits
 from carawaylane.decisions.retry_window import RetryWindow
 from carawaylane.gateway.dispatchers import (
     ReportResult,
@@ -25,14 +23,13 @@
 from carawaylane.kernel.service import Service, service
 from carawaylane.messages.dispatch import (
     AttemptKind,
+    BackpressureNotice,
     Grant,
     Queued,
-    RateLimitNotice,
     Refusal,
     SlotReply,
     SlotRequest,
 )
-from carawaylane.messages.outcomes import InvalidRateLimit
 from carawaylane.rpc.fleet_codec import (
     pack_result,
     pack_slot_request,
@@ -42,8 +39,6 @@
 from carawaylane.telemetry.events import (
     HOME_SILENT,
     LIMITED_SEND,
-    RATE_LIMIT,
-    RATE_LIMIT_INVALID,
     emit,
 )
 
@@ -51,7 +46,6 @@
     from carawaylane.gateway.dispatchers import Dispatchers
     from carawaylane.kernel.kernel import Kernel
     from carawaylane.messages.dispatch import Ticket
-    from carawaylane.messages.outcomes import RateLimit
 
 # A home grants, queues or refuses a request at once. A round trip takes a few
 # milliseconds, and some tens of milliseconds if the node is busy.
@@ -83,7 +77,7 @@
         ticket: Ticket,
         result: Result,
         duration_s: float,
-        rate_limit: RateLimitNotice | None = None,
+        notice: BackpressureNotice | None = None,
     ) -> None:
         """Report how a granted request ended, or cancel a request."""
 
@@ -118,7 +112,7 @@
         ticket: Ticket,
         result: Result,
         duration_s: float,
-        rate_limit: RateLimitNotice | None = None,
+        notice: BackpressureNotice | None = None,
     ) -> None:
         self._dispatchers.post(
             ReportResult(
@@ -126,7 +120,7 @@
                 ticket=ticket,
                 result=result,
                 duration_s=duration_s,
-                rate_limit=rate_limit,
+                notices=(notice,) if notice else (),
             )
         )
 
@@ -155,13 +149,11 @@
         ticket: Ticket,
         result: Result,
         duration_s: float,
-        rate_limit: RateLimitNotice | None = None,
+        notice: BackpressureNotice | None = None,
     ) -> None:
         self._service_by_ticket.pop(ticket, None)
         if self.stream is not None and self.stream.is_open:
-            msg = pack_result(
-                ticket, service_name, result, duration_s, rate_limit
-            )
+            msg = pack_result(ticket, service_name, result, duration_s, notice)
             self.stream.send(Call(done=msg))
 
     def report_still_waiting(self, service_name: str, ticket: Ticket) -> None:
@@ -231,15 +223,12 @@
         self._last_ticket_number = 0
         # By service: the attempts of this entry.
         self._recent_attempts: dict[str, RetryWindow] = {}
-        # By service: the limits that its targets named to this entry.
-        self._rate_limits: dict[str, HeardRateLimits] = defaultdict(
-            HeardRateLimits
-        )
 
     async def start(self) -> None:
         """Look up the other services."""
         self._directory = self.kernel.find('directory')
         self._metrics = self.kernel.find('telemetry').metrics
+        self._heard = self.kernel.find('backpressure').heard
         self._local_home = _LocalHome(
             dispatchers=self.kernel.find('dispatchers'), slot_client=self
         )
@@ -260,8 +249,8 @@
             request = evolve(
                 request,
                 recent_attempts=window.report_to(member, self.kernel.now_s()),
-                rate_limits=self._rate_limits[service_name].report_to(
-                    member, self.kernel.now_s()
+                notices=self._heard.report_to(
+                    member, self.kernel.now_s(), service_name
                 ),
             )
             reply = await self._request_slot_from(
@@ -287,40 +276,10 @@
             ticket=request.ticket, retry_after_s=0.1, reason='no home in time'
         )
 
-    def record_rate_limit(
-        self,
-        slot: GrantedSlot,
-        rate_limit: RateLimit,
-        sent_at_s: float,
-        *,
-        may_lift: bool,
-    ) -> RateLimitNotice | None:
-        """Record what an answer said of the limit of its target.
-
-        Returns the notice for the home, None if the answer says nothing. One
-        that names no limit lifts it only if the target ran the request
-        without an error: a target in need may refuse requests otherwise.
-        """
-        target = slot.grant.target
-        if isinstance(rate_limit, InvalidRateLimit):
-            emit(RATE_LIMIT_INVALID, target=target, limit=rate_limit.text)
-            return None
-        if rate_limit is None and not may_lift:
-            return None
-        heard = self._rate_limits[slot.service]
-        before = heard.rate_of(target)
-        notice = heard.record_answer(
-            target, rate_limit, sent_at_s, self.kernel.now_s()
-        )
-        limit = heard.rate_of(target)
-        if limit != before:
-            emit(RATE_LIMIT, target=target, per_s=limit, before=before)
-        return notice
-
     def log_limited_send(self, slot: GrantedSlot, request_id: str) -> None:
         """Log a request to a target that has named a limit."""
         target = slot.grant.target
-        limit = self._rate_limits[slot.service].rate_of(target)
+        limit = self._heard.rate_of(target)
         if limit is not None:
             self._metrics.count('limited_sends', turn=slot.attempt.name)
             emit(
@@ -365,8 +324,7 @@
             entry=self.kernel.member, data_centre=self.kernel.cfg.data_centre
         )
         await stream.run(self, hello)
-        for heard in self._rate_limits.values():
-            heard.forget_reports_to(home.member)
+        self._heard.forget_reports_to(home.member)
         if home.stream is not stream:
             return
         for ticket in home.drop_requests():
--- a/carawaylane/gateway/dispatchers.py
+++ b/carawaylane/gateway/dispatchers.py
@@ -18,8 +18,8 @@
 from carawaylane.gateway.directory import TargetsChanged
 from carawaylane.kernel.service import Actor, handles, service
 from carawaylane.messages.dispatch import (
+    BackpressureNotice,
     Grant,
-    RateLimitNotice,
     Refusal,
     SlotReply,
     SlotRequest,
@@ -67,7 +67,7 @@
     ticket: Ticket
     result: Result
     duration_s: float
-    rate_limit: RateLimitNotice | None = None
+    notices: tuple[BackpressureNotice, ...] = ()
 
 
 @frozen(kw_only=True)
@@ -149,9 +149,9 @@
     @handles(ReportResult)
     def _report_result(self, msg: ReportResult) -> None:
         dispatcher = self.dispatcher(msg.service)
-        if msg.rate_limit is not None:
-            dispatcher.pool.apply_rate_limit(
-                msg.rate_limit, self.kernel.now_s()
+        for notice in msg.notices:
+            dispatcher.pool.apply_notice(
+                notice, msg.ticket[0], self.kernel.now_s()
             )
         granted = dispatcher.pool.in_flight.get(msg.ticket)
         if granted is None:
--- a/carawaylane/gateway/exchanges.py
+++ b/carawaylane/gateway/exchanges.py
@@ -20,6 +20,7 @@
 
 from carawaylane.decisions.answer_memory import AnswerMemory
 from carawaylane.kernel.service import Service, service
+from carawaylane.messages.outcomes import NO_BACKPRESSURE
 from carawaylane.platform.headers import (
     read_response_headers,
     target_request_headers,
@@ -111,6 +112,10 @@
         self.connections_opened = 0
         self._answer_memory = AnswerMemory()
 
+    async def start(self) -> None:
+        """Look up the other services."""
+        self._backpressure = self.kernel.find('backpressure')
+
     async def stop(self) -> None:
         """Close the idle connections."""
         await super().stop()
@@ -129,6 +134,9 @@
         stops working on the request.
         """
         started_at_s = self.kernel.now_s()
+        withheld = self._withheld(target, request)
+        if withheld is not None:
+            return withheld
         conn = self._take_idle(address, started_at_s, request.idempotent)
         if conn is None:
             try:
@@ -136,6 +144,11 @@
                     conn = await self._open_connection(address)
             except (TimeoutError, OSError) as exc:
                 return NeverSent(reason=type(exc).__name__)
+            # The target may have answered others since.
+            withheld = self._withheld(target, request)
+            if withheld is not None:
+                self._return_idle(address, conn)
+                return withheld
         time_left_s -= self.kernel.now_s() - started_at_s
         completed = False
         try:
@@ -144,6 +157,9 @@
                     conn, target, request, time_left_s
                 )
             completed = not isinstance(result, BrokenExchange)
+            self._backpressure.record_result(
+                target, result, request.request_id, started_at_s
+            )
             return result
         except TimeoutError:
             return BrokenExchange(reason='no answer in time', timed_out=True)
@@ -153,6 +169,15 @@
             else:
                 conn.transport.abort()
 
+    def _withheld(
+        self, target: str, request: OutgoingRequest
+    ) -> NeverSent | None:
+        """Return the result if a target asked for no requests."""
+        reason = self._backpressure.withheld(target, request.request_id)
+        if reason is None:
+            return None
+        return NeverSent(reason=reason, withheld=True)
+
     async def reaches(self, address: str) -> bool:
         """Open a connection for the pool; return whether that worked."""
         try:
@@ -258,11 +283,14 @@
             reason='an answer to another request', mismatched=True
         )
     if headers.not_run:
+        is_own_answer = bool(headers.request_id) and not headers.misdirected
         return RefusedByTarget(
             leaving=False,
             deadline_passed=False,
             misdirected=headers.misdirected,
-            rate_limit=headers.rate_limit,
+            backpressure=headers.backpressure
+            if is_own_answer
+            else NO_BACKPRESSURE,
         )
     # Targets echo the request id and don't encode their answers, so another
     # answer was not sent by the target.
@@ -274,7 +302,7 @@
         status=message.code,
         headers=_forwarded_headers(message),
         body=body,
-        rate_limit=headers.rate_limit,
+        backpressure=headers.backpressure,
     )
 
 
--- a/carawaylane/gateway/fleet_rpc.py
+++ b/carawaylane/gateway/fleet_rpc.py
@@ -23,7 +23,7 @@
 from carawaylane.kernel.service import Service, service
 from carawaylane.rpc.fleet_codec import (
     pack_slot_reply,
-    unpack_rate_limit,
+    unpack_result_notices,
     unpack_slot_request,
 )
 from carawaylane.rpc.fleet_grpc import FleetBase
@@ -113,9 +113,7 @@
                     ticket=(hello.entry, call.done.ticket),
                     result=Result(call.done.result),
                     duration_s=call.done.took_ms / 1000,
-                    rate_limit=unpack_rate_limit(call.done.rate_limit)
-                    if call.done.HasField('rate_limit')
-                    else None,
+                    notices=unpack_result_notices(call.done),
                 )
             )
 
--- a/carawaylane/gateway/forwarding.py
+++ b/carawaylane/gateway/forwarding.py
@@ -11,12 +11,16 @@
 from attrs import Factory, define, frozen
 
 from carawaylane.decisions.failure_estimate import Result
+from carawaylane.gateway.backpressure import (
+    MIN_SERVER_ERROR_STATUS,
+    answered_without_error,
+)
 from carawaylane.gateway.dispatch import GrantedSlot
 from carawaylane.gateway.exchanges import ExchangeResult
 from carawaylane.kernel.service import Service, service
 from carawaylane.messages.dispatch import (
     AttemptKind,
-    RateLimitNotice,
+    BackpressureNotice,
     Refusal,
     SlotRequest,
 )
@@ -37,7 +41,6 @@
 )
 from carawaylane.telemetry.events import TARGET_RESULT, emit
 
-MIN_SERVER_ERROR_STATUS = 500
 # Attempts that could not connect don't count against the route's limit on
 # targets, so they have a limit of their own.
 MAX_FAILED_CONNECTIONS = 3
@@ -106,6 +109,7 @@
         """Look up the other services."""
         self._slot_client = self.kernel.find('dispatch')
         self._target_paths = self.kernel.find('target_paths')
+        self._heard = self.kernel.find('backpressure').heard
         self._metrics = self.kernel.find('telemetry').metrics
 
     async def forward(self, routed: RoutedRequest) -> Outcome:
@@ -324,15 +328,9 @@
         """
         exchange_result = attempt.task.result()
         result = _result_of(exchange_result)
-        notice = None
-        if isinstance(exchange_result, CompleteAnswer | RefusedByTarget):
-            notice = self._slot_client.record_rate_limit(
-                attempt.slot,
-                exchange_result.rate_limit,
-                attempt.started_at_s,
-                may_lift=result is Result.ANSWERED,
-            )
-        self._report_result(attempt, result, notice)
+        self._report_result(
+            attempt, result, self._notice(attempt, exchange_result)
+        )
         self._log_failure(state, attempt, exchange_result, result)
         match exchange_result:
             case CompleteAnswer():
@@ -352,6 +350,20 @@
                     return AttemptKind.REPEAT
         return None
 
+    def _notice(
+        self, attempt: _Attempt, exchange_result: ExchangeResult
+    ) -> BackpressureNotice | None:
+        """Return what the home should hear of the target's wishes."""
+        target = attempt.slot.grant.target
+        now_s = self.kernel.now_s()
+        known = self._heard.notice_of(target, now_s)
+        if known is not None or not answered_without_error(exchange_result):
+            return known
+        # The answer names no limit, and lifts one that the home may know.
+        return BackpressureNotice(
+            target=target, sent_age_s=now_s - attempt.started_at_s
+        )
+
     def _handle_answer(
         self,
         state: _ForwardState,
@@ -404,7 +416,7 @@
         self,
         attempt: _Attempt,
         result: Result,
-        rate_limit: RateLimitNotice | None = None,
+        notice: BackpressureNotice | None = None,
     ) -> None:
         grant = attempt.slot.grant
         duration_s = self.kernel.now_s() - attempt.started_at_s
@@ -413,7 +425,7 @@
             grant.ticket,
             result,
             duration_s,
-            rate_limit,
+            notice,
         )
         self._metrics.count('exchanges', result=result.name)
         if result is Result.ANSWERED:
@@ -447,7 +459,11 @@
                 if status >= MIN_SERVER_ERROR_STATUS
                 else Result.ANSWERED
             )
-        case NeverSent(own_path=True) | BrokenExchange(own_path=True):
+        case (
+            NeverSent(own_path=True)
+            | NeverSent(withheld=True)
+            | BrokenExchange(own_path=True)
+        ):
             return Result.UNUSED
         case NeverSent():
             return Result.UNREACHED
--- a/carawaylane/gateway/target_paths.py
+++ b/carawaylane/gateway/target_paths.py
@@ -79,6 +79,7 @@
         """Look up the other services."""
         self._directory = self.kernel.find('directory')
         self._exchanges = self.kernel.find('exchanges')
+        self._backpressure = self.kernel.find('backpressure')
         self._links = self.kernel.find('links')
         self._relays = self.kernel.find('relays')
         self._metrics = self.kernel.find('telemetry').metrics
@@ -121,6 +122,8 @@
         match result:
             case CompleteAnswer() | RefusedByTarget():
                 self.paths.record_reached(self.kernel.now_s())
+            case NeverSent(withheld=True):
+                return result
             case NeverSent(reason=reason):
                 await self._run_check(address, deadline_s)
                 return NeverSent(reason=reason, own_path=self.paths.cut_off)
@@ -140,6 +143,9 @@
         request: OutgoingRequest,
         deadline_s: float,
     ) -> ExchangeResult:
+        withheld = self._backpressure.withheld(target, request.request_id)
+        if withheld is not None:
+            return NeverSent(reason=withheld, withheld=True)
         own_name = self.kernel.cfg.name
         peers = [name for name in self._directory.members if name != own_name]
         tried: set[str] = set()
@@ -149,12 +155,16 @@
             if member is None or left_s <= 0:
                 break
             tried.add(member)
+            sent_at_s = self.kernel.now_s()
             reply = await self._relays.relay(
                 self._directory.members[member].address,
                 pack_relay_request(target, address, request, left_s),
                 left_s + RELAY_MARGIN_S,
             )
             result = _relay_result(reply)
+            self._backpressure.record_result(
+                target, result, request.request_id, sent_at_s
+            )
             emit(
                 REQUEST_RELAYED,
                 request=request.request_id,
--- a/carawaylane/messages/dispatch.py
+++ b/carawaylane/messages/dispatch.py
@@ -53,18 +53,30 @@
 
 
 @frozen(kw_only=True)
-class RateLimitNotice:
+class BackpressureNotice:
     """What an answer said of the requests that its target takes.
 
-    `rate_per_s` is the limit for all nodes together, None if the answer named
-    none. `sent_age_s` is the time since the request was sent, `heard_age_s`
-    that since the answer arrived.
+    `rate_per_s` is the limit for all nodes together, None if there is none;
+    with `names_rate` unset the notice says nothing of it. `sent_age_s` is the
+    time since the request was sent, `heard_age_s` that since the answer
+    arrived. The entry sends the target nothing for `pause_left_s`, and
+    nothing more if it is `leaving`; both apply to incarnations that started
+    at the Unix time `started_until_ms` or before.
     """
 
     target: str
-    rate_per_s: float | None
-    sent_age_s: float
+    rate_per_s: float | None = None
+    sent_age_s: float = 0.0
     heard_age_s: float = 0.0
+    names_rate: bool = True
+    pause_left_s: float = 0.0
+    leaving: bool = False
+    started_until_ms: int = 0
+
+    @property
+    def withholds(self) -> bool:
+        """Whether the entry sends the target no requests for now."""
+        return self.leaving or self.pause_left_s > 0
 
 
 @frozen(kw_only=True)
@@ -73,8 +85,8 @@
 
     `left_s` is the time until its caller gives up, `objective_s` the latency
     objective of its route. `digest` identifies equal requests, 0 if unknown.
-    `recent_attempts` are those of the entry at the service, `rate_limits`
-    what it has heard of limits of the targets.
+    `recent_attempts` are those of the entry at the service, `notices`
+    what its targets have asked for.
     """
 
     ticket: Ticket
@@ -90,7 +102,7 @@
     digest: int = 0
     request_id: str = ''
     recent_attempts: AttemptReport = AttemptReport()
-    rate_limits: tuple[RateLimitNotice, ...] = ()
+    notices: tuple[BackpressureNotice, ...] = ()
 
     @property
     def entry(self) -> str:
--- a/carawaylane/messages/outcomes.py
+++ b/carawaylane/messages/outcomes.py
@@ -8,15 +8,27 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class InvalidRateLimit:
-    """A rate limit in an answer that is not a number of at least 0."""
+class InvalidNumber:
+    """Text in an answer that is not a finite number of at least 0."""
 
     text: str
 
 
-# Requests per second that a target takes from all nodes together, as an answer
-# names it; None if the answer names no limit.
-RateLimit = float | InvalidRateLimit | None
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Backpressure:
+    """What a target asks of its callers in an answer.
+
+    `rate_limit` is the number of requests per second that it takes from all
+    nodes together, None if the answer names no limit. This node is to send
+    nothing for `pause_s`. A target that is `leaving` is about to stop.
+    """
+
+    rate_limit: float | InvalidNumber | None = None
+    pause_s: float | InvalidNumber = 0.0
+    leaving: bool = False
+
+
+NO_BACKPRESSURE = Backpressure()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/carawaylane/platform/headers.py
+++ b/carawaylane/platform/headers.py
@@ -7,11 +7,13 @@
 
 from attrs import frozen
 
-from carawaylane.messages.outcomes import InvalidRateLimit, RateLimit
+from carawaylane.messages.outcomes import Backpressure, InvalidNumber
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from multidict import MultiMapping
+
 READY_PATH = '/ready'
 REQUEST_ID_HEADER = 'Request-Id'
 # The time in ms that is left, although the name suggests a point in time.
@@ -21,6 +23,10 @@
 RETRY_AFTER_HEADER = 'Retry-After'
 # Requests per second that the target takes from all nodes together.
 RATE_LIMIT_HEADER = 'Server-Limit'
+# Set in all answers of a target that is about to stop.
+LEAVING_HEADER = 'Server-Leaving'
+NOT_LEAVING_VALUE = '0'
+SERVICE_UNAVAILABLE_STATUS = 503
 # Misdirected Request: another target now has the address.
 MISDIRECTED_STATUS = 421
 
@@ -39,14 +45,14 @@
     """Values of the platform's headers in a target's answer.
 
     `not_run` means that the target did not run the request. If it is
-    `misdirected`, another target now has the address. `rate_limit` is
+    `misdirected`, another target now has the address. `backpressure` is
     what the answer says of the requests that the target takes.
     """
 
     request_id: str
     not_run: bool
     misdirected: bool
-    rate_limit: RateLimit
+    backpressure: Backpressure
 
 
 def request_id_of(headers: Mapping[str, str]) -> str:
@@ -73,27 +79,49 @@
 
 
 def read_response_headers(
-    status: int, headers: Mapping[str, str]
+    status: int, headers: MultiMapping[str]
 ) -> ResponseHeaders:
     """Parse the status and headers of a target's answer."""
     return ResponseHeaders(
         request_id=headers.get(REQUEST_ID_HEADER, ''),
         not_run=NOT_RUN_HEADER in headers or status == MISDIRECTED_STATUS,
         misdirected=status == MISDIRECTED_STATUS,
-        rate_limit=_read_rate_limit(headers.get(RATE_LIMIT_HEADER)),
+        backpressure=_read_backpressure(status, headers),
     )
 
 
-def _read_rate_limit(text: str | None) -> RateLimit:
-    if text is None:
-        return None
+def _read_backpressure(
+    status: int, headers: MultiMapping[str]
+) -> Backpressure:
+    rate_limit = headers.get(RATE_LIMIT_HEADER)
+    pauses: list[str] = []
+    if status == SERVICE_UNAVAILABLE_STATUS:
+        pauses = headers.getall(RETRY_AFTER_HEADER, [])
+    leaving = headers.get(LEAVING_HEADER, NOT_LEAVING_VALUE)
+    return Backpressure(
+        rate_limit=None if rate_limit is None else _read_number(rate_limit),
+        pause_s=_longest_pause(pauses),
+        leaving=leaving.strip() != NOT_LEAVING_VALUE,
+    )
+
+
+def _longest_pause(texts: list[str]) -> float | InvalidNumber:
+    """Return the longest of the pauses that can be read, if any can."""
+    numbers = [_read_number(text) for text in texts]
+    pauses_s = [number for number in numbers if isinstance(number, float)]
+    if numbers and not pauses_s:
+        return numbers[0]
+    return max(pauses_s, default=0.0)
+
+
+def _read_number(text: str) -> float | InvalidNumber:
     try:
-        rate_limit_per_s = float(text)
+        number = float(text)
     except ValueError:
-        return InvalidRateLimit(text=text)
-    if not isfinite(rate_limit_per_s) or rate_limit_per_s < 0:
-        return InvalidRateLimit(text=text)
-    return rate_limit_per_s
+        return InvalidNumber(text=text)
+    if not isfinite(number) or number < 0:
+        return InvalidNumber(text=text)
+    return number
 
 
 def target_request_headers(
--- a/carawaylane/rpc/fleet_codec.py
+++ b/carawaylane/rpc/fleet_codec.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
+from math import ceil
 from typing import TYPE_CHECKING
 
 from carawaylane.messages.dispatch import (
     AttemptCounts,
     AttemptKind,
     AttemptReport,
+    BackpressureNotice,
     Grant,
     Queued,
-    RateLimitNotice,
     Refusal,
     SlotReply,
     SlotRequest,
@@ -25,9 +26,12 @@
     Object,
     RateLimit,
     Reply,
+    Withheld,
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from carawaylane.decisions.failure_estimate import Result
 
 
@@ -48,7 +52,14 @@
         recent_attempts=_pack_counts(request.recent_attempts.total),
         recent_attempts_here=_pack_counts(request.recent_attempts.at_home),
         rate_limits=[
-            _pack_rate_limit(notice) for notice in request.rate_limits
+            _pack_rate_limit(notice)
+            for notice in request.notices
+            if notice.names_rate
+        ],
+        withheld=[
+            _pack_withheld(notice)
+            for notice in request.notices
+            if notice.withholds
         ],
     )
 
@@ -73,9 +84,7 @@
             total=_unpack_counts(msg.recent_attempts),
             at_home=_unpack_counts(msg.recent_attempts_here),
         ),
-        rate_limits=tuple(
-            unpack_rate_limit(limit) for limit in msg.rate_limits
-        ),
+        notices=_unpack_notices(msg.rate_limits, msg.withheld),
     )
 
 
@@ -87,7 +96,7 @@
     return AttemptCounts(first_attempts=msg.firsts, retries=msg.retries)
 
 
-def _pack_rate_limit(notice: RateLimitNotice) -> RateLimit:
+def _pack_rate_limit(notice: BackpressureNotice) -> RateLimit:
     return RateLimit(
         target=notice.target,
         per_s=notice.rate_per_s,
@@ -96,13 +105,48 @@
     )
 
 
-def unpack_rate_limit(msg: RateLimit) -> RateLimitNotice:
-    """Return the notice in the protobuf message of an entry."""
-    return RateLimitNotice(
-        target=msg.target,
-        rate_per_s=msg.per_s if msg.HasField('per_s') else None,
-        sent_age_s=msg.sent_age_ms / 1000,
-        heard_age_s=msg.heard_age_ms / 1000,
+def _pack_withheld(notice: BackpressureNotice) -> Withheld:
+    return Withheld(
+        target=notice.target,
+        # Rounded up, so that a pause that has not ended is not 0.
+        pause_left_ms=ceil(notice.pause_left_s * 1000),
+        leaving=notice.leaving,
+        started_until_ms=notice.started_until_ms,
+    )
+
+
+def _unpack_notices(
+    limits: Iterable[RateLimit], withheld: Iterable[Withheld]
+) -> tuple[BackpressureNotice, ...]:
+    """Return a notice for each message, two for some targets."""
+    return (
+        *(
+            BackpressureNotice(
+                target=msg.target,
+                rate_per_s=msg.per_s if msg.HasField('per_s') else None,
+                sent_age_s=msg.sent_age_ms / 1000,
+                heard_age_s=msg.heard_age_ms / 1000,
+            )
+            for msg in limits
+        ),
+        *(
+            BackpressureNotice(
+                target=msg.target,
+                names_rate=False,
+                pause_left_s=msg.pause_left_ms / 1000,
+                leaving=msg.leaving,
+                started_until_ms=msg.started_until_ms,
+            )
+            for msg in withheld
+        ),
+    )
+
+
+def unpack_result_notices(msg: Done) -> tuple[BackpressureNotice, ...]:
+    """Return what the target of a result asked for."""
+    return _unpack_notices(
+        [msg.rate_limit] if msg.HasField('rate_limit') else [],
+        [msg.withheld] if msg.HasField('withheld') else [],
     )
 
 
@@ -111,7 +155,7 @@
     service: str,
     result: Result,
     duration_s: float,
-    rate_limit: RateLimitNotice | None = None,
+    notice: BackpressureNotice | None = None,
 ) -> Done:
     """Return the protobuf message of the result of a granted request."""
     return Done(
@@ -119,7 +163,12 @@
         service=service,
         result=result.value,  # type: ignore[arg-type]
         took_ms=int(duration_s * 1000),
-        rate_limit=_pack_rate_limit(rate_limit) if rate_limit else None,
+        rate_limit=_pack_rate_limit(notice)
+        if notice and notice.names_rate
+        else None,
+        withheld=_pack_withheld(notice)
+        if notice and notice.withholds
+        else None,
     )
 
 
--- a/carawaylane/rpc/relay_codec.py
+++ b/carawaylane/rpc/relay_codec.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from math import ceil
 from typing import TYPE_CHECKING
 
+from carawaylane.decisions.backpressure import MAX_PAUSE_S
 from carawaylane.messages.exchange import OutgoingRequest
-from carawaylane.messages.outcomes import InvalidRateLimit
+from carawaylane.messages.outcomes import Backpressure, InvalidNumber
 from carawaylane.rpc.fleet_pb2 import Header, RelayReply, RelayRequest
 from carawaylane.services.targets import (
     BrokenExchange,
@@ -18,7 +20,7 @@
     from collections.abc import Iterable
 
     from carawaylane.gateway.exchanges import ExchangeResult
-    from carawaylane.messages.outcomes import Headers, RateLimit
+    from carawaylane.messages.outcomes import Headers
 
 
 def pack_relay_request(
@@ -81,19 +83,20 @@
                 headers=_pack_headers(result.headers),
                 body=result.body,
             )
-            _set_rate_limit(reply, result.rate_limit)
+            _set_backpressure(reply, result.backpressure)
             return reply
         case RefusedByTarget():
             reply = RelayReply(
                 result=RelayReply.REFUSED, misdirected=result.misdirected
             )
-            _set_rate_limit(reply, result.rate_limit)
+            _set_backpressure(reply, result.backpressure)
             return reply
         case NeverSent():
             return RelayReply(
                 result=RelayReply.NEVER_SENT,
                 reason=result.reason,
                 own_path=result.own_path,
+                withheld=result.withheld,
             )
         case BrokenExchange():
             return RelayReply(
@@ -105,11 +108,17 @@
             )
 
 
-def _set_rate_limit(reply: RelayReply, rate_limit: RateLimit) -> None:
-    if isinstance(rate_limit, InvalidRateLimit):
+def _set_backpressure(reply: RelayReply, backpressure: Backpressure) -> None:
+    rate_limit = backpressure.rate_limit
+    if isinstance(rate_limit, InvalidNumber):
         reply.invalid_rate_limit = rate_limit.text
     elif rate_limit is not None:
         reply.rate_limit_per_s = rate_limit
+    if isinstance(backpressure.pause_s, InvalidNumber):
+        reply.invalid_pause = backpressure.pause_s.text
+    else:
+        reply.pause_ms = ceil(min(backpressure.pause_s, MAX_PAUSE_S) * 1000)
+    reply.leaving = backpressure.leaving
 
 
 def unpack_relay_reply(msg: RelayReply) -> ExchangeResult:
@@ -119,17 +128,19 @@
             status=msg.status,
             headers=_unpack_headers(msg.headers),
             body=msg.body,
-            rate_limit=_unpack_rate_limit(msg),
+            backpressure=_unpack_backpressure(msg),
         )
     if msg.result == RelayReply.REFUSED:
         return RefusedByTarget(
             leaving=False,
             deadline_passed=False,
             misdirected=msg.misdirected,
-            rate_limit=_unpack_rate_limit(msg),
+            backpressure=_unpack_backpressure(msg),
         )
     if msg.result == RelayReply.NEVER_SENT:
-        return NeverSent(reason=msg.reason, own_path=msg.own_path)
+        return NeverSent(
+            reason=msg.reason, own_path=msg.own_path, withheld=msg.withheld
+        )
     return BrokenExchange(
         reason=msg.reason,
         mismatched=msg.mismatched,
@@ -138,7 +149,15 @@
     )
 
 
-def _unpack_rate_limit(msg: RelayReply) -> RateLimit:
+def _unpack_backpressure(msg: RelayReply) -> Backpressure:
+    rate_limit: float | InvalidNumber | None = None
     if msg.HasField('invalid_rate_limit'):
-        return InvalidRateLimit(text=msg.invalid_rate_limit)
-    return msg.rate_limit_per_s if msg.HasField('rate_limit_per_s') else None
+        rate_limit = InvalidNumber(text=msg.invalid_rate_limit)
+    elif msg.HasField('rate_limit_per_s'):
+        rate_limit = msg.rate_limit_per_s
+    pause_s: float | InvalidNumber = msg.pause_ms / 1000
+    if msg.HasField('invalid_pause'):
+        pause_s = InvalidNumber(text=msg.invalid_pause)
+    return Backpressure(
+        rate_limit=rate_limit, pause_s=pause_s, leaving=msg.leaving
+    )
--- a/carawaylane/services/targets.py
+++ b/carawaylane/services/targets.py
@@ -22,13 +22,14 @@
 from attrs import frozen
 from multidict import CIMultiDict
 
+from carawaylane.messages.outcomes import NO_BACKPRESSURE
 from carawaylane.services.response_handler import BoundedResponseHandler
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
     from carawaylane.messages.exchange import Request
-    from carawaylane.messages.outcomes import Headers, RateLimit
+    from carawaylane.messages.outcomes import Backpressure, Headers
 
 CONNECT_TIMEOUT_S = 0.5
 LIVENESS_CONNECT_TIMEOUT_S = 0.3
@@ -65,7 +66,7 @@
     status: int
     headers: Headers
     body: bytes
-    rate_limit: RateLimit = None
+    backpressure: Backpressure = NO_BACKPRESSURE
 
 
 @dataclass(kw_only=True, slots=True)
@@ -85,11 +86,13 @@
 class NeverSent:
     """No byte of the request was sent, so it did not run.
 
-    `own_path` is set if the way to the target failed, not the target.
+    `own_path` is set if the way to the target failed, not the target,
+    `withheld` if the target asked for no requests.
     """
 
     reason: str
     own_path: bool = False
+    withheld: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -105,7 +108,7 @@
     leaving: bool
     deadline_passed: bool
     misdirected: bool = False
-    rate_limit: RateLimit = None
+    backpressure: Backpressure = NO_BACKPRESSURE
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/carawaylane/telemetry/events.py
+++ b/carawaylane/telemetry/events.py
@@ -242,6 +242,30 @@
     _INFO,
     'How many requests a home has granted within the limit of a target.',
 )
+TARGET_LEAVING = _declare_event(
+    612,
+    'target-leaving',
+    _WARN,
+    'A target said in an answer that it is about to stop.',
+)
+TARGET_PAUSED = _declare_event(
+    613,
+    'target-paused',
+    _WARN,
+    'A target refused a request and asked this node for a pause.',
+)
+PAUSE_INVALID = _declare_event(
+    614,
+    'pause-invalid',
+    _WARN,
+    'A pause that a target asked for is no number; it is not kept.',
+)
+SEND_WITHHELD = _declare_event(
+    615,
+    'send-withheld',
+    _WARN,
+    'A request was not sent, as its target asked for no requests.',
+)
 PATHS_LOST = _declare_event(
     504,
     'paths-lost',
--- a/tests/decisions/test_rate_limits.py
+++ b/tests/decisions/test_rate_limits.py
@@ -9,22 +9,26 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from carawaylane.decisions.backpressure import (
+    REPORT_PERIOD_S,
+    HeardBackpressure,
+    TargetIdentity,
+)
 from carawaylane.decisions.dispatcher import Dispatcher
 from carawaylane.decisions.failure_estimate import Result
 from carawaylane.decisions.rate_limits import (
     BURST_S,
     MIN_RATE_PER_S,
-    REPORT_PERIOD_S,
-    HeardRateLimits,
     SharedRateLimits,
 )
 from carawaylane.decisions.retry_window import RetryWindow
 from carawaylane.messages.dispatch import (
     AttemptKind,
+    BackpressureNotice,
     Grant,
-    RateLimitNotice,
     SlotRequest,
 )
+from carawaylane.messages.outcomes import Backpressure
 from carawaylane.messages.platform_objects import TargetSpec
 from carawaylane.settings.gateway import Bounds
 
@@ -39,7 +43,7 @@
 
 
 def named(rate_per_s, *, target=LIMITED, sent_age_s=0.0, heard_age_s=0.0):
-    return RateLimitNotice(
+    return BackpressureNotice(
         target=target,
         rate_per_s=rate_per_s,
         sent_age_s=sent_age_s,
@@ -47,6 +51,16 @@
     )
 
 
+def hear(heard, target, rate_per_s, sent_at_s, now_s):
+    """Record an answer with a limit, or without one."""
+    return heard.record_answer(
+        TargetIdentity(name=target),
+        Backpressure(rate_limit=rate_per_s),
+        sent_at_s,
+        now_s,
+    )
+
+
 def make_limits(share=1.0):
     return SharedRateLimits(share_at=lambda _now_s: share, rng=Random(1))
 
@@ -125,33 +139,33 @@
 
 
 def test_an_entry_repeats_what_it_knows_to_each_home():
-    heard = HeardRateLimits()
+    heard = HeardBackpressure()
     assert heard.report_to('h1', 0.0) == ()
-    heard.record_answer(LIMITED, 2.0, 0.5, 1.0)
+    hear(heard, LIMITED, 2.0, 0.5, 1.0)
     notice = named(2.0, sent_age_s=1.5, heard_age_s=1.0)
     assert heard.report_to('h1', 2.0) == (notice,)
     assert heard.report_to('h1', 2.5) == ()
     assert len(heard.report_to('h2', 2.5)) == 1
     assert len(heard.report_to('h1', 2.0 + REPORT_PERIOD_S)) == 1
-    heard.record_answer(LIMITED, None, 2.5, 5.0)
+    hear(heard, LIMITED, None, 2.5, 5.0)
     assert heard.report_to('h1', 5.0) == ()
 
 
 def test_a_home_is_told_of_a_new_limit_at_once():
-    heard = HeardRateLimits()
-    heard.record_answer(LIMITED, 2.0, 0.0, 0.0)
+    heard = HeardBackpressure()
+    hear(heard, LIMITED, 2.0, 0.0, 0.0)
     assert len(heard.report_to('h1', 0.1)) == 1
-    heard.record_answer(LIMITED, 2.0, 0.1, 0.2)
+    hear(heard, LIMITED, 2.0, 0.1, 0.2)
     assert heard.report_to('h1', 0.3) == ()
-    heard.record_answer('t1', 3.0, 0.3, 0.4)
+    hear(heard, 't1', 3.0, 0.3, 0.4)
     assert len(heard.report_to('h1', 0.5)) == 2
-    heard.record_answer(LIMITED, 1.0, 0.5, 0.6)
+    hear(heard, LIMITED, 1.0, 0.5, 0.6)
     assert len(heard.report_to('h1', 0.7)) == 2
 
 
 def test_a_home_that_may_have_restarted_is_told_of_all_limits():
-    heard = HeardRateLimits()
-    heard.record_answer(LIMITED, 2.0, 0.0, 0.0)
+    heard = HeardBackpressure()
+    hear(heard, LIMITED, 2.0, 0.0, 0.0)
     assert len(heard.report_to('h1', 0.1)) == 1
     assert heard.report_to('h1', 0.2) == ()
     heard.forget_reports_to('h1')
@@ -210,7 +224,7 @@
         lambda: {entry: RetryWindow(window_s=10.0) for entry in ENTRIES}
     )
     _heard: dict = Factory(
-        lambda: {entry: HeardRateLimits() for entry in ENTRIES}
+        lambda: {entry: HeardBackpressure() for entry in ENTRIES}
     )
     _events: list = Factory(list)
     _numbers: count = Factory(count)
@@ -288,7 +302,7 @@
             objective_s=0.6,
             attempt=attempt,
             recent_attempts=window.report_to(name, now_s),
-            rate_limits=self._heard[entry].report_to(name, now_s),
+            notices=self._heard[entry].report_to(name, now_s),
         )
         self.sent += attempt is AttemptKind.FIRST
         self._handle(name, request, home.request_slot(request, now_s), now_s)
@@ -326,12 +340,16 @@
         limited = target == LIMITED and now_s >= self.NAMED_AT_S
         if limited:
             self._told_at_s.setdefault(request.entry, now_s)
-        notice = self._heard[request.entry].record_answer(
-            target, self.rate_per_s if limited else None, sent_at_s, now_s
+        notice = hear(
+            self._heard[request.entry],
+            target,
+            self.rate_per_s if limited else None,
+            sent_at_s,
+            now_s,
         )
         if self.rng.random() >= self.lost_share:
             home = self._home(name, now_s)
-            home.pool.apply_rate_limit(notice, now_s)
+            home.pool.apply_notice(notice, request.entry, now_s)
             home.record_result(
                 request.ticket, result, now_s - sent_at_s, now_s
             )
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -130,7 +130,7 @@
     replies = [Reply(data=named), Reply(data=SHED), Reply()]
     await fleet.start_target('limited', lambda n, _: replies[min(n, 3) - 1])
     node = await fleet.start_node('n1')
-    heard = node.find('dispatch')._rate_limits['stock']
+    heard = node.find('backpressure').heard
     limits = []
     for number in range(3):
         await sleep(0.01)
--- a/tests/gateway/test_target_paths.py
+++ b/tests/gateway/test_target_paths.py
@@ -85,6 +85,12 @@
     def close_idle(self):
         pass
 
+    def withheld(self, _target, _request_id):
+        return None
+
+    def record_result(self, *_args):
+        pass
+
     async def call(self, address, _method, msg):
         await sleep(0)
         reached = self._reached_by_peer or address == self.reaching_address
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -5,8 +5,9 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from multidict import CIMultiDict
 
-from carawaylane.messages.outcomes import InvalidRateLimit, Problem
+from carawaylane.messages.outcomes import Backpressure, InvalidNumber, Problem
 from carawaylane.messages.platform_objects import (
     InvalidObject,
     Member,
@@ -186,9 +187,11 @@
 
 
 def test_only_header_or_status_421_says_that_a_request_was_not_run():
-    assert read_response_headers(503, {'Not-Executed': '1'}).not_run
-    assert read_response_headers(421, {}).not_run
-    assert not read_response_headers(503, {}).not_run
+    assert read_response_headers(
+        503, CIMultiDict({'Not-Executed': '1'})
+    ).not_run
+    assert read_response_headers(421, CIMultiDict()).not_run
+    assert not read_response_headers(503, CIMultiDict()).not_run
 
 
 @pytest.mark.parametrize(
@@ -197,17 +200,61 @@
         ('2', 2.0),
         (' 0.75 ', 0.75),
         ('0', 0.0),
-        ('', InvalidRateLimit(text='')),
-        ('two', InvalidRateLimit(text='two')),
-        ('-1', InvalidRateLimit(text='-1')),
-        ('nan', InvalidRateLimit(text='nan')),
-        ('inf', InvalidRateLimit(text='inf')),
+        ('', InvalidNumber(text='')),
+        ('two', InvalidNumber(text='two')),
+        ('-1', InvalidNumber(text='-1')),
+        ('nan', InvalidNumber(text='nan')),
+        ('inf', InvalidNumber(text='inf')),
     ],
 )
 def test_the_rate_limit_in_an_answer_is_read_and_checked(text, limit):
-    headers = read_response_headers(200, {'Server-Limit': text})
-    assert headers.rate_limit == limit
+    headers = read_response_headers(200, CIMultiDict({'Server-Limit': text}))
+    assert headers.backpressure.rate_limit == limit
 
 
 def test_an_answer_without_a_rate_limit_names_none():
-    assert read_response_headers(200, {}).rate_limit is None
+    headers = read_response_headers(200, CIMultiDict())
+    assert headers.backpressure == Backpressure()
+
+
+@pytest.mark.parametrize(
+    ('status', 'texts', 'pause_s'),
+    [
+        (503, ['2'], 2.0),
+        (503, [' 0.75 '], 0.75),
+        (503, ['2', '5'], 5.0),
+        (503, ['5', 'soon'], 5.0),
+        (503, ['soon'], InvalidNumber(text='soon')),
+        (503, ['-1'], InvalidNumber(text='-1')),
+        (503, ['nan'], InvalidNumber(text='nan')),
+        (503, ['1e999'], InvalidNumber(text='1e999')),
+        (503, ['9' * 400], InvalidNumber(text='9' * 400)),
+        (503, [], 0.0),
+        # Other statuses do not ask for a pause.
+        (429, ['2'], 0.0),
+        (200, ['2'], 0.0),
+    ],
+)
+def test_the_pause_that_an_answer_asks_for_is_read_and_checked(
+    status, texts, pause_s
+):
+    headers = CIMultiDict([('Retry-After', text) for text in texts])
+    assert read_response_headers(status, headers).backpressure == Backpressure(
+        pause_s=pause_s
+    )
+
+
+@pytest.mark.parametrize(
+    ('headers', 'leaving'),
+    [
+        ({}, False),
+        ({'Server-Leaving': '1'}, True),
+        ({'Server-Leaving': 'yes'}, True),
+        ({'Server-Leaving': '0'}, False),
+    ],
+)
+def test_an_answer_says_whether_its_target_is_leaving(headers, leaving):
+    backpressure = read_response_headers(
+        200, CIMultiDict(headers)
+    ).backpressure
+    assert backpressure == Backpressure(leaving=leaving)
--- a/tests/rpc/test_fleet_codec.py
+++ b/tests/rpc/test_fleet_codec.py
@@ -7,21 +7,26 @@
     AttemptCounts,
     AttemptKind,
     AttemptReport,
-    RateLimitNotice,
+    BackpressureNotice,
     SlotRequest,
 )
 from carawaylane.rpc.fleet_codec import (
     pack_result,
     pack_slot_request,
-    unpack_rate_limit,
+    unpack_result_notices,
     unpack_slot_request,
 )
 
 NOTICES = tuple(
-    RateLimitNotice(
+    BackpressureNotice(
         target='t', rate_per_s=rate_per_s, sent_age_s=1.5, heard_age_s=0.25
     )
     for rate_per_s in (None, 0.0, 0.75)
+) + (
+    BackpressureNotice(
+        target='t', names_rate=False, pause_left_s=2.5, started_until_ms=2**41
+    ),
+    BackpressureNotice(target='t', names_rate=False, leaving=True),
 )
 
 
@@ -42,7 +47,7 @@
             total=AttemptCounts(first_attempts=3, retries=2),
             at_home=AttemptCounts(first_attempts=1, retries=1),
         ),
-        rate_limits=NOTICES,
+        notices=NOTICES,
     )
     msg = pack_slot_request(request, 's')
     assert unpack_slot_request(msg, 'e', 'a') == request
@@ -51,9 +56,28 @@
 @pytest.mark.parametrize('notice', NOTICES)
 def test_the_rate_limit_in_a_result_is_unchanged(notice):
     msg = pack_result(('e', 7), 's', Result.ANSWERED, 0.1, notice)
-    assert unpack_rate_limit(msg.rate_limit) == notice
+    assert unpack_result_notices(msg) == (notice,)
 
 
 def test_a_result_without_an_answer_says_nothing_of_a_limit():
     msg = pack_result(('e', 7), 's', Result.OVERDUE, 0.1)
     assert not msg.HasField('rate_limit')
+    assert unpack_result_notices(msg) == ()
+
+
+def test_a_notice_without_a_limit_does_not_lift_one_at_an_older_node():
+    """Such a node takes a message without a limit as lifting it."""
+    notice = BackpressureNotice(target='t', names_rate=False, leaving=True)
+    assert not pack_result(('e', 7), 's', Result.SHED, 0.1, notice).HasField(
+        'rate_limit'
+    )
+
+
+def test_all_that_a_target_asks_for_is_in_its_messages():
+    notice = BackpressureNotice(
+        target='t', rate_per_s=2.0, pause_left_s=0.0001, leaving=True
+    )
+    msg = pack_result(('e', 7), 's', Result.SHED, 0.1, notice)
+    limit, withheld = unpack_result_notices(msg)
+    assert limit.rate_per_s == 2.0 and not limit.withholds
+    assert withheld.leaving and withheld.pause_left_s > 0
--- a/tests/rpc/test_relay_codec.py
+++ b/tests/rpc/test_relay_codec.py
@@ -3,7 +3,7 @@
 import pytest
 
 from carawaylane.messages.exchange import OutgoingRequest
-from carawaylane.messages.outcomes import InvalidRateLimit
+from carawaylane.messages.outcomes import Backpressure, InvalidNumber
 from carawaylane.rpc.relay_codec import (
     pack_relay_reply,
     pack_relay_request,
@@ -39,21 +39,30 @@
     'result',
     [
         CompleteAnswer(
-            status=200, headers=HEADERS, body=b'\x00', rate_limit=0.0
+            status=200,
+            headers=HEADERS,
+            body=b'\x00',
+            backpressure=Backpressure(rate_limit=0.0),
         ),
         CompleteAnswer(
             status=500,
             headers=(),
             body=b'',
-            rate_limit=InvalidRateLimit(text=''),
+            backpressure=Backpressure(
+                rate_limit=InvalidNumber(text=''),
+                pause_s=InvalidNumber(text='x'),
+            ),
         ),
         RefusedByTarget(
             leaving=False,
             deadline_passed=False,
             misdirected=True,
-            rate_limit=1.5,
+            backpressure=Backpressure(
+                rate_limit=1.5, pause_s=2.5, leaving=True
+            ),
         ),
         NeverSent(reason='r', own_path=True),
+        NeverSent(reason='r', withheld=True),
         BrokenExchange(reason='r', mismatched=True),
         BrokenExchange(reason='r', timed_out=True, own_path=True),
     ],
