Try another target when a second one fails beside a hung one

Cause: what followed a failed attempt was dropped while another attempt was in flight, and a hedge was due only if the attempts so far had reached fewer targets than the route allows.

Ruled out: the limit on targets; a target that could not be reached does not count.

Change: a failed attempt is followed by the next one also beside others.

--- a/carawaylane/gateway/forwarding.py
+++ b/carawaylane/gateway/forwarding.py
@@ -272,15 +272,16 @@
                 if self.kernel.now_s() >= state.hedge_at_s:
                     state.hedge_at_s = float('inf')
                     return AttemptKind.HEDGE
+            decision: AttemptKind | Outcome | None = None
             for attempt in [
                 attempt for attempt in state.in_flight if attempt.task in done
             ]:
                 state.in_flight.remove(attempt)
-                decision = self._end_attempt(state, attempt)
-                if decision is not None and not state.in_flight:
-                    return decision
+                decision = self._end_attempt(state, attempt) or decision
                 if isinstance(decision, Answered):
                     return decision
+            if decision is not None:
+                return decision
         return self._failed_outcome(state)
 
     def _report_still_waiting(self, state: _ForwardState) -> None:
