A node without queued requests does not run its queues

Cause: every node woke up 50 times a second to serve queues, also nodes that are home of no service: 62 to 73 wake-ups a second of a node without requests.

Ruled out: the thread that writes logs (no wake-ups without lines), the decisions themselves.

Change: the loop waits until a request is queued, or for the idle run of a home.

The test of wake-ups failed before.

--- a/carawaylane/gateway/dispatchers.py
+++ b/carawaylane/gateway/dispatchers.py
@@ -7,8 +7,9 @@
 
 from __future__ import annotations
 
-from asyncio import sleep
+from asyncio import Event, sleep, timeout
 from collections.abc import Callable
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from attrs import frozen
@@ -97,6 +98,8 @@
         super().__init__(kernel=kernel)
         self.dispatchers: dict[str, Dispatcher] = {}
         self._reply_callbacks: dict[Ticket, Callable[[SlotReply], None]] = {}
+        # Set when a request is queued or a dispatcher is created.
+        self._wakeup = Event()
         # Services whose targets have changed since their queue was served.
         self._changed_services: set[str] = set()
 
@@ -123,6 +126,7 @@
                 self._directory.targets_of(service_name), now_s
             )
             self.dispatchers[service_name] = dispatcher
+            self._wakeup.set()
             self._log_home_started(service_name)
         return dispatcher
 
@@ -144,6 +148,7 @@
         self._log_reply(msg.service, msg.request, reply)
         if not isinstance(reply, Grant | Refusal):
             self._reply_callbacks[msg.request.ticket] = msg.on_reply
+            self._wakeup.set()
         msg.on_reply(reply)
 
     @handles(ReportResult)
@@ -205,18 +210,32 @@
                 on_reply(reply)
 
     async def _queue_loop(self) -> None:
-        since_idle_run_s = 0.0
+        idle_run_at_s = self.kernel.now_s()
         while True:
+            await self._wait_until_queued()
             await sleep(QUEUE_PERIOD_S)
-            since_idle_run_s += QUEUE_PERIOD_S
+            now_s = self.kernel.now_s()
+            is_idle_run = now_s - idle_run_at_s >= IDLE_PERIOD_S
+            if is_idle_run:
+                idle_run_at_s = now_s
             for dispatcher in self.dispatchers.values():
-                if (
-                    dispatcher.queue_length()
-                    or since_idle_run_s >= IDLE_PERIOD_S
-                ):
+                if dispatcher.queue_length() or is_idle_run:
                     self._serve_queue(dispatcher)
-            if since_idle_run_s >= IDLE_PERIOD_S:
-                since_idle_run_s = 0.0
+
+    async def _wait_until_queued(self) -> None:
+        """Wait until a request is queued, or the next idle run is due.
+
+        A node that is home of no service does not wake up.
+        """
+        if any(
+            dispatcher.queue_length()
+            for dispatcher in self.dispatchers.values()
+        ):
+            return
+        self._wakeup.clear()
+        with suppress(TimeoutError):
+            async with timeout(IDLE_PERIOD_S if self.dispatchers else None):
+                await self._wakeup.wait()
 
     async def _usage_log_loop(self) -> None:
         while True:
--- a/tests/gateway/test_dispatchers.py
+++ b/tests/gateway/test_dispatchers.py
@@ -3,7 +3,12 @@
 from asyncio import sleep
 
 from carawaylane.decisions.failure_estimate import Result
-from carawaylane.gateway.dispatchers import ReportResult
+from carawaylane.gateway import dispatchers as dispatchers_module
+from carawaylane.gateway.dispatchers import (
+    IDLE_PERIOD_S,
+    QUEUE_PERIOD_S,
+    ReportResult,
+)
 from carawaylane.messages.dispatch import SlotRequest
 from tests.gateway.conftest import fetch, plan_spec
 
@@ -55,3 +60,50 @@
     await sleep(0)
     assert not dispatcher.pool.in_flight
     assert len(passes) == 1
+
+
+async def test_a_node_without_queued_requests_does_not_run_its_queues(
+    fleet, monkeypatch
+):
+    """Hundreds of nodes that wake up often cost more than their requests."""
+    periods_s = []
+
+    async def count_and_sleep(period_s):
+        periods_s.append(period_s)
+        await sleep(period_s)
+
+    monkeypatch.setattr(dispatchers_module, 'sleep', count_and_sleep)
+    fleet.store.put('config', 'main', plan_spec())
+    await fleet.start_target('i-1')
+    node = await fleet.start_node('n1')
+    await sleep(10 * QUEUE_PERIOD_S)
+    assert QUEUE_PERIOD_S not in periods_s
+    # As a home, it also drops requests whose entry is lost.
+    assert (await fetch(node, '/read/1')).status == 200
+    periods_s.clear()
+    await sleep(2 * IDLE_PERIOD_S)
+    assert periods_s.count(QUEUE_PERIOD_S) <= 3
+
+
+async def test_a_queued_request_is_served_though_nothing_else_happens(fleet):
+    """It waits for less risk, not for an event."""
+    fleet.store.put('config', 'main', plan_spec())
+    await fleet.start_target('i-1')
+    node = await fleet.start_node('n1')
+    assert (await fetch(node, '/read/1')).status == 200
+    dispatcher = node.find('dispatchers').dispatchers['stock']
+    grant = dispatcher._try_grant
+    asked = []
+
+    def grant_later(request, now_s, **kwargs):
+        asked.append(now_s)
+        if len(asked) < 4:
+            return None
+        return grant(request, now_s, **kwargs)
+
+    dispatcher._try_grant = lambda request, now_s, waited_s=0.0, **kwargs: (
+        grant_later(request, now_s, waited_s=waited_s, **kwargs)
+    )
+    await sleep(0.1)
+    assert (await fetch(node, '/read/2')).status == 200
+    assert asked[3] - asked[0] < IDLE_PERIOD_S
