Start nodes without the tracing library, parse settings once

Each start of a gateway node imported the tracing library, which this profile does not use, and each node parsed its settings file every second, changed or not (3 of 20 samples of an idle node).

Change: the tracer is created on first use; a text that has not changed is not parsed.

--- a/carawaylane/gateway/daemon.py
+++ b/carawaylane/gateway/daemon.py
@@ -9,13 +9,13 @@
 from pathlib import Path
 from random import Random
 from signal import SIG_IGN, SIGHUP, SIGINT, SIGTERM, signal
-from typing import TYPE_CHECKING
 
 from uvloop import run
 
 from carawaylane.kernel.kernel import Kernel
 from carawaylane.messages.outcomes import Problem
 from carawaylane.platform.boot import boot_file_path, parse_boot_file
+from carawaylane.settings.gateway import GatewaySettings
 from carawaylane.telemetry.events import (
     NODE_DRAINING,
     NODE_STARTED,
@@ -26,9 +26,6 @@
     log_to_stdout,
 )
 
-if TYPE_CHECKING:
-    from carawaylane.settings.gateway import GatewaySettings
-
 EXIT_BAD_SETTINGS = 2
 EXIT_INTERNAL_ERROR = 70
 # Period at which the boot file is checked for changes.
@@ -63,19 +60,25 @@
     sys.exit(run(serve(Path(path))))
 
 
-def read_settings(path: Path) -> tuple[str, GatewaySettings | Problem]:
-    """Return the text of the boot file and the settings in it."""
+def read_settings(
+    path: Path, old_text: str | None = None
+) -> tuple[str, GatewaySettings | Problem | None]:
+    """Return the text of the boot file and the settings in it.
+
+    The settings are None if the text has not changed.
+    """
     try:
         text = path.read_text()
     except (OSError, UnicodeDecodeError) as exc:
-        return '', Problem(place=str(path), reason=str(exc))
-    return text, parse_boot_file(text)
+        text, problem = '', Problem(place=str(path), reason=str(exc))
+        return text, None if text == old_text else problem
+    return text, None if text == old_text else parse_boot_file(text)
 
 
 async def serve(path: Path) -> int:
     """Run the node until a signal or a failed task; return the exit code."""
     text, cfg = read_settings(path)
-    if isinstance(cfg, Problem):
+    if not isinstance(cfg, GatewaySettings):
         print(f'carawaylane: {cfg}', file=sys.stderr)
         return EXIT_BAD_SETTINGS
     log_handler = log_to_stdout()
@@ -113,10 +116,9 @@
     """
     while True:
         await sleep(RELOAD_PERIOD_S)
-        new_text, cfg = read_settings(path)
-        if new_text == text:
+        text, cfg = read_settings(path, text)
+        if cfg is None:
             continue
-        text = new_text
         if isinstance(cfg, Problem):
             emit(SETTINGS_BAD, reason=str(cfg))
             continue
--- a/carawaylane/services/telemetry.py
+++ b/carawaylane/services/telemetry.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
+from functools import cached_property
 from typing import TYPE_CHECKING
 
 from carawaylane.kernel.service import Service, service
 from carawaylane.telemetry.metrics import Metrics
-from carawaylane.telemetry.traces import Tracer
 
 if TYPE_CHECKING:
     from carawaylane.kernel.kernel import Kernel
+    from carawaylane.telemetry.traces import Tracer
 
 
 @service('telemetry')
@@ -18,9 +19,15 @@
 
     def __init__(self, *, kernel: Kernel) -> None:
         super().__init__(kernel=kernel)
-        cfg = kernel.cfg
         self.metrics = Metrics()
-        self.tracer = Tracer(
+
+    @cached_property
+    def tracer(self) -> Tracer:
+        """The tracer, created on first use: its import takes long."""
+        from carawaylane.telemetry.traces import Tracer
+
+        cfg = self.kernel.cfg
+        return Tracer(
             node=cfg.name,
             exporter_name=cfg.trace_exporter,
             ratio=cfg.trace_ratio,
@@ -29,4 +36,5 @@
     async def stop(self) -> None:
         """Export the buffered spans."""
         await super().stop()
-        self.tracer.close()
+        if 'tracer' in self.__dict__:
+            self.tracer.close()
