make bench: processor time of a gateway node

It starts node processes beside the stand-in store and targets and prints the processor time of a start, of a node without requests, and of a request over all nodes that it passes.

--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,7 @@
 
 bench: $(READY)
 	$(PY) -m bench.run
+	$(PY) -m bench.gateway_cost
 
 fuzz: $(READY)
 	$(PY) -m bench.fuzz
