A home with a long queue chooses no target in vain

Cause: each result went over the whole queue, and each request in it looked for a target and estimated its wait, though no target was free or all free ones were too likely failing. The cost of a request grew with the queue.

Ruled out: the estimates themselves, which are cached.

Change: a request looks for a target only if one is free whose risk it accepts; a pass after results ends once no target is free.

Three tests failed before.

--- a/carawaylane/decisions/dispatcher.py
+++ b/carawaylane/decisions/dispatcher.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from math import isinf
 from statistics import NormalDist
 from typing import TYPE_CHECKING
 
@@ -211,12 +212,23 @@
         ]
         self.pool.drop_entry(entry)
 
-    def serve_queue(self, now_s: float) -> list[tuple[SlotRequest, SlotReply]]:
-        """Return new grants and refusals for queued requests."""
-        self._expire_in_flight(now_s)
+    def serve_queue(
+        self, now_s: float, *, refuses_late: bool = True
+    ) -> list[tuple[SlotRequest, SlotReply]]:
+        """Return new grants and refusals for queued requests.
+
+        Without `refuses_late` it ends once no target is free, so that each
+        result does not cost a pass over a long queue, and does not drop
+        requests of entries that are silent.
+        """
+        if refuses_late:
+            self._expire_in_flight(now_s)
         replies: list[tuple[SlotRequest, SlotReply]] = []
         remaining: list[_QueuedRequest] = []
-        for queued in self._queue:
+        for position, queued in enumerate(self._queue):
+            if not refuses_late and isinf(self.pool.lowest_free_risk(now_s)):
+                remaining += self._queue[position:]
+                break
             reply = self._serve_queued(queued, len(remaining), now_s)
             if reply is None:
                 remaining.append(queued)
@@ -358,13 +370,17 @@
             now_s
         ):
             return None
+        accepted_risk = max(
+            min_accepted_risk, self._accepted_risk(request, waited_s)
+        )
+        # Most passes over a long queue find no target to choose.
+        if self.pool.lowest_free_risk(now_s) > accepted_risk:
+            return None
         choice = self._choose_target(request, now_s)
         if choice is None:
             return None
         target, risk = choice
-        if risk > max(
-            min_accepted_risk, self._accepted_risk(request, waited_s)
-        ):
+        if risk > accepted_risk:
             return None
         if request.attempt.is_retry:
             self.retry_budget.record_retry(request.entry, now_s)
--- a/carawaylane/decisions/target_pool.py
+++ b/carawaylane/decisions/target_pool.py
@@ -9,13 +9,12 @@
 from collections import defaultdict
 from typing import TYPE_CHECKING
 
-from attrs import define
-
 from carawaylane.decisions.failure_estimate import (
     FailureEstimate,
     LatencyModel,
 )
 from carawaylane.decisions.target_state import (
+    FreeTargets,
     InFlightRequest,
     TargetState,
     untried,
@@ -57,15 +56,6 @@
 USABLE_RISK = 0.5
 
 
-@define(kw_only=True)
-class _FreeTargets:
-    """Targets with a free slot at a time, and those due for the floor."""
-
-    at_s: float
-    all: list[TargetState]
-    due: list[TargetState]
-
-
 class TargetPool:
     """The targets of one service and the requests in flight at them."""
 
@@ -83,7 +73,7 @@
         )
         self.withheld = WithheldTargets()
         # Cached for one point in time; None after a change.
-        self._free: _FreeTargets | None = None
+        self._free: FreeTargets | None = None
 
     def update(self, specs: Iterable[TargetSpec], now_s: float) -> None:
         """Update the list of targets; those that remain keep their state."""
@@ -140,8 +130,7 @@
         self._free = None
         self.rate_limits.apply(notice, now_s)
         self.withheld.apply(notice, entry, now_s)
-        target = self.targets.get(notice.target)
-        if target is not None:
+        if (target := self.targets.get(notice.target)) is not None:
             target.leaving = self.withheld.is_leaving(target.spec)
 
     def has_open_target(
@@ -158,6 +147,8 @@
 
         It is 0 if the entry may send to one that it has not tried.
         """
+        if not self.withheld.is_pausing(request.entry, now_s):
+            return 0.0
         return self.withheld.shortest_pause_s(
             request.entry,
             (
@@ -171,12 +162,10 @@
 
     def confirm(self, ticket: Ticket, now_s: float) -> None:
         """Record that an entry still waits for the answer of a target."""
-        granted = self.in_flight.get(ticket)
-        if granted is not None:
+        if (granted := self.in_flight.get(ticket)) is not None:
             granted.confirmed_at_s = now_s
             self._free = None
-            target = self.targets.get(granted.target)
-            if target is not None:
+            if (target := self.targets.get(granted.target)) is not None:
                 # The risk depends on the age up to which there is no answer.
                 target.cached_risk_at_s = float('-inf')
 
@@ -291,7 +280,17 @@
                 best = (cost, risk, target)
         return (best[2], best[1]) if best else None
 
-    def _free_targets(self, now_s: float) -> _FreeTargets:
+    def lowest_free_risk(self, now_s: float) -> float:
+        """Return the lowest failure risk of a free target, inf if none is."""
+        free = self._free_targets(now_s)
+        if free.lowest_risk is None:
+            free.lowest_risk = min(
+                (self.failure_risk(target, now_s) for target in free.all),
+                default=float('inf'),
+            )
+        return free.lowest_risk
+
+    def _free_targets(self, now_s: float) -> FreeTargets:
         """Return the targets with a free slot, the same until one changes."""
         free = self._free
         if free is None or free.at_s != now_s:
@@ -303,7 +302,7 @@
                 and self.rate_limits.allows(target.spec.name, now_s)
             ]
             due = self._names_due_for_floor(now_s)
-            free = _FreeTargets(
+            free = FreeTargets(
                 at_s=now_s,
                 all=all_free,
                 due=[target for target in all_free if target.spec.name in due],
--- a/carawaylane/decisions/target_state.py
+++ b/carawaylane/decisions/target_state.py
@@ -96,6 +96,17 @@
             ]
 
 
+@define(kw_only=True)
+class FreeTargets:
+    """Targets with a free slot at a time, and those due for the floor."""
+
+    at_s: float
+    all: list[TargetState]
+    due: list[TargetState]
+    # None until it is asked for.
+    lowest_risk: float | None = None
+
+
 def untried(
     targets: list[TargetState], request: SlotRequest
 ) -> list[TargetState]:
--- a/carawaylane/decisions/withheld_targets.py
+++ b/carawaylane/decisions/withheld_targets.py
@@ -85,7 +85,7 @@
         self, entry: str, targets: list[TargetState], now_s: float
     ) -> list[TargetState]:
         """Return the targets that did not ask an entry for a pause."""
-        if not self._is_pausing(entry, now_s):
+        if not self.is_pausing(entry, now_s):
             return targets
         return [
             target
@@ -97,14 +97,12 @@
         self, entry: str, specs: Iterable[TargetSpec], now_s: float
     ) -> float:
         """Return how long all of some targets want nothing from an entry."""
-        if not self._is_pausing(entry, now_s):
-            return 0.0
         return min(
             (self.pause_left_s(spec, entry, now_s) for spec in specs),
             default=0.0,
         )
 
-    def _is_pausing(self, entry: str, now_s: float) -> bool:
+    def is_pausing(self, entry: str, now_s: float) -> bool:
         """Return whether any target wants nothing from an entry."""
         return self._last_pause_s.get(entry, now_s) > now_s
 
--- a/carawaylane/gateway/dispatchers.py
+++ b/carawaylane/gateway/dispatchers.py
@@ -199,11 +199,17 @@
     def on_mailbox_empty(self) -> None:
         """Serve the queues, once for all results that had arrived."""
         for service_name in self._changed_services:
-            self._serve_queue(self.dispatchers[service_name])
+            self._serve_queue(
+                self.dispatchers[service_name], refuses_late=False
+            )
         self._changed_services.clear()
 
-    def _serve_queue(self, dispatcher: Dispatcher) -> None:
-        for request, reply in dispatcher.serve_queue(self.kernel.now_s()):
+    def _serve_queue(
+        self, dispatcher: Dispatcher, *, refuses_late: bool = True
+    ) -> None:
+        for request, reply in dispatcher.serve_queue(
+            self.kernel.now_s(), refuses_late=refuses_late
+        ):
             self._log_reply(dispatcher.service, request, reply)
             on_reply = self._reply_callbacks.pop(reply.ticket, None)
             if on_reply is not None:
--- a/tests/decisions/test_dispatcher.py
+++ b/tests/decisions/test_dispatcher.py
@@ -3,6 +3,7 @@
 from random import Random
 
 import pytest
+from attrs import evolve
 
 from carawaylane.decisions.dispatcher import Dispatcher
 from carawaylane.decisions.failure_estimate import (
@@ -297,6 +298,68 @@
     assert len(evaluations) <= len(names) * periods + 2 * requests
 
 
+def count_calls(monkeypatch, owner, name):
+    """Return a list that grows with each call of a method."""
+    calls = []
+    method = getattr(owner, name)
+
+    def count_and_call(self, *args, **kwargs):
+        calls.append(name)
+        return method(self, *args, **kwargs)
+
+    monkeypatch.setattr(owner, name, count_and_call)
+    return calls
+
+
+def queue_requests(dispatcher, make_request, now_s, count=50):
+    requests = [make_request(priority=1, left_s=60.0) for _ in range(count)]
+    # Long objectives let the queue grow.
+    requests = [evolve(request, objective_s=60.0) for request in requests]
+    for request in requests:
+        assert isinstance(dispatcher.request_slot(request, now_s), Queued)
+    return requests
+
+
+@pytest.mark.parametrize('free', ['no target', 'a target that fails'])
+def test_a_pass_over_a_long_queue_chooses_no_target_in_vain(
+    make_request, monkeypatch, free
+):
+    """The home of a busy service spent its time on such passes."""
+    dispatcher = make_dispatcher('t1', 't2', slots=1)
+    failing = {'t1', 't2'} if free == 'no target' else {'t1'}
+    for _ in failing:
+        dispatcher.request_slot(make_request(), 0.0)
+    if free == 'a target that fails':
+        # The other one answers nothing.
+        monkeypatch.setattr(
+            type(dispatcher.pool), 'failure_risk', lambda *_: 0.99
+        )
+    queue_requests(dispatcher, make_request, 0.01)
+    choices = count_calls(monkeypatch, type(dispatcher.pool), 'choose')
+    assert dispatcher.serve_queue(0.02) == []
+    assert choices == []
+
+
+def test_a_result_serves_no_more_of_a_long_queue_than_gets_slots(
+    make_request, monkeypatch
+):
+    dispatcher = make_dispatcher('t1', 't2', slots=1)
+    first, _ = (make_request(), make_request())
+    for request in (first, _):
+        assert isinstance(dispatcher.request_slot(request, 0.0), Grant)
+    queued = queue_requests(dispatcher, make_request, 0.01)
+    dispatcher.record_result(first.ticket, Result.ANSWERED, 0.02, 0.02)
+    served = count_calls(monkeypatch, Dispatcher, '_serve_queued')
+    [(request, reply)] = dispatcher.serve_queue(0.02, refuses_late=False)
+    assert isinstance(reply, Grant) and request is queued[0]
+    assert len(served) == 1
+    assert dispatcher.queue_length() == len(queued) - 1
+    # The order of the others is kept.
+    dispatcher.record_result(request.ticket, Result.ANSWERED, 0.02, 0.04)
+    [(request, _)] = dispatcher.serve_queue(0.04, refuses_late=False)
+    assert request is queued[1]
+
+
 def test_a_resend_after_a_failed_connection_is_not_a_retry(make_request):
     bounds = Bounds(retry_ratio=0, retry_slack=0)
     dispatcher = Dispatcher(service='s', bounds=bounds, rng=Random(1))
--- a/tests/gateway/test_dispatchers.py
+++ b/tests/gateway/test_dispatchers.py
@@ -38,9 +38,9 @@
     passes = []
     serve_queue = dispatcher.serve_queue
 
-    def count_and_serve(now_s):
+    def count_and_serve(now_s, **kwargs):
         passes.append(now_s)
-        return serve_queue(now_s)
+        return serve_queue(now_s, **kwargs)
 
     dispatcher.serve_queue = count_and_serve
     target = next(iter(dispatcher.pool.targets.values()))
