Ignore objects of the store with huge numbers or deep nesting

One bad message ended a process: a target's entry by another writer with a number of 400 digits raised OverflowError when it was decoded, or in the home that summed its slots, and JSON nested deeper than the parser allows raised RecursionError; only other errors were caught.

Found by reading what new integers are passed on between nodes: a start time beyond 64 bits could not be packed.

Change: both errors count as an object that can't be decoded, and integers have at most 64 bits. An answer of the store that is nested too deeply counts as no answer.

--- a/carawaylane/platform/documents.py
+++ b/carawaylane/platform/documents.py
@@ -31,6 +31,18 @@
 # Used if a route does not set them.
 DEFAULT_TIMEOUT_MS = 30_000
 DEFAULT_PRIORITY = 1
+# Nodes pass some integers on as fields of 64 bits.
+MAX_INTEGER = 2**63 - 1
+# Raised for JSON that has another form, is nested too deeply, or has numbers
+# that are too large.
+DECODE_ERRORS = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 
 
 def encode_json(value: Any) -> bytes:
@@ -65,7 +77,7 @@
 def _decode(name: str, data: bytes, parse: Callable[[Any], Any]) -> Any:
     try:
         return parse(loads(data))
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+    except DECODE_ERRORS as exc:
         return InvalidObject(name=name, reason=f'{type(exc).__name__}: {exc}')
 
 
@@ -159,6 +171,8 @@
 def _require_integer(value: Any) -> int:
     if isinstance(value, bool) or not isinstance(value, int):
         raise ValueError(f'{value!r} is not an integer')
+    if not 0 <= value <= MAX_INTEGER:
+        raise ValueError('an integer is negative or too large')
     return value
 
 
--- a/carawaylane/platform/objects.py
+++ b/carawaylane/platform/objects.py
@@ -30,6 +30,14 @@
 CONNECT_TIMEOUT_S = 0.5
 # Time for the answer to a watch, added to the wait that the watch asks for.
 WATCH_MARGIN_S = 0.7
+# A RecursionError comes from an answer that is nested too deeply.
+CALL_ERRORS = (
+    TimeoutError,
+    ClientError,
+    OSError,
+    ValueError,
+    RecursionError,
+)
 OK = 200
 CREATED = 201
 NOT_FOUND = 404
@@ -178,7 +186,7 @@
                     return Unavailable(reason=f'status {resp.status}')
                 era = self._eras.read(resp.headers)
                 return resp.status, await resp.json(content_type=None), era
-        except (TimeoutError, ClientError, OSError, ValueError) as exc:
+        except CALL_ERRORS as exc:
             return Unavailable(reason=type(exc).__name__)
 
 
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -116,6 +116,10 @@
         ['text', None, {}, {'service': 'stock', 'slots': 'two'}, [1]]
     ):
         fleet.store.put('servers', f'bad-{number}', spec)
+    for field in ('slots', 'warmup_left_ms', 'born'):
+        fleet.register_target(f'bad-{field}', 80)
+        spec = fleet.store.objects['servers'][f'bad-{field}']['spec']
+        spec[field] = 10**400
     await fleet.start_target('i-1')
     node = await fleet.start_node('n1')
     assert list(node.find('directory').targets) == ['i-1']
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -82,8 +82,13 @@
         {'slots': '2'},
         {'state': 'resting'},
         {'born': 1.5},
+        {'born': -1},
+        # Nodes send it to each other as an integer of 64 bits.
+        {'born': 2**63},
         {'zone': None},
         {'warmup_left_ms': 'x'},
+        {'warmup_left_ms': 10**400},
+        {'slots': 10**400},
     ],
 )
 def test_target_with_an_invalid_field_is_rejected(change):
@@ -98,6 +103,16 @@
         assert isinstance(decode('x', data), InvalidObject)
 
 
+@pytest.mark.parametrize(
+    'data',
+    [b'[' * 100_000, b'{"a":' * 100_000, b'9' * 100_000],
+    ids=['lists', 'objects', 'digits'],
+)
+def test_json_that_the_parser_gives_up_on_is_rejected(data):
+    for decode in (decode_plan, decode_target, decode_member):
+        assert isinstance(decode('x', data), InvalidObject)
+
+
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.text(max_size=5),
     lambda inner: (
