Replies that arrived while the event loop was blocked are used

The three nodes of the test share an event loop. When it is blocked for longer than a reply is awaited (0.25 s), the timers fire before the replies that arrived meanwhile are read, and a ready grant is dropped; the entry's own dispatcher counted as silent as well. A node that is paused or starved for a moment refuses its callers for this reason.

--- a/carawaylane/gateway/dispatch.py
+++ b/carawaylane/gateway/dispatch.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from asyncio import Queue, timeout
+from asyncio import Queue
 from typing import TYPE_CHECKING, Protocol
 
 from attrs import Factory, define, evolve, frozen
@@ -21,6 +21,7 @@
 )
 from carawaylane.gateway.links import HomeStream
 from carawaylane.kernel.service import Service, service
+from carawaylane.kernel.timeouts import reply_timeout
 from carawaylane.messages.dispatch import (
     AttemptKind,
     BackpressureNotice,
@@ -367,7 +368,7 @@
         self, pending: _PendingRequest, timeout_s: float
     ) -> SlotReply | None:
         try:
-            async with timeout(timeout_s):
+            async with reply_timeout(timeout_s):
                 return await pending.replies.get()
         except TimeoutError:
             return None
--- a/carawaylane/gateway/exchanges.py
+++ b/carawaylane/gateway/exchanges.py
@@ -20,6 +20,7 @@
 
 from carawaylane.decisions.answer_memory import AnswerMemory
 from carawaylane.kernel.service import Service, service
+from carawaylane.kernel.timeouts import reply_timeout
 from carawaylane.messages.outcomes import NO_BACKPRESSURE
 from carawaylane.platform.headers import (
     read_response_headers,
@@ -140,7 +141,7 @@
         conn = self._take_idle(address, started_at_s, request.idempotent)
         if conn is None:
             try:
-                async with timeout(min(CONNECT_TIMEOUT_S, time_left_s)):
+                async with reply_timeout(min(CONNECT_TIMEOUT_S, time_left_s)):
                     conn = await self._open_connection(address)
             except (TimeoutError, OSError) as exc:
                 return NeverSent(reason=type(exc).__name__)
@@ -181,7 +182,7 @@
     async def reaches(self, address: str) -> bool:
         """Open a connection for the pool; return whether that worked."""
         try:
-            async with timeout(CONNECT_TIMEOUT_S):
+            async with reply_timeout(CONNECT_TIMEOUT_S):
                 conn = await self._open_connection(address)
         except (TimeoutError, OSError):
             return False
--- /dev/null
+++ b/tests/gateway/test_dispatch.py
@@ -0,0 +1,83 @@
+"""Tests of requests for slots."""
+
+from asyncio import gather
+from time import sleep as block
+
+import pytest
+
+from carawaylane.decisions.dispatcher import Dispatcher
+from carawaylane.gateway.dispatch import FIRST_REPLY_TIMEOUT_S, GrantedSlot
+from carawaylane.gateway.dispatchers import Dispatchers
+from carawaylane.messages.dispatch import SlotRequest
+from carawaylane.telemetry.events import HOME_SILENT
+from tests.gateway.conftest import fetch, plan_spec
+
+BLOCKED_S = FIRST_REPLY_TIMEOUT_S + 0.1
+
+
+@pytest.fixture
+def blocking_dispatcher(monkeypatch):
+    """Block the event loop for longer than a reply is awaited, once."""
+    request_slot = Dispatcher.request_slot
+    blocked_services = set()
+
+    def request_slot_slowly(self, request, now_s):
+        if self.service not in blocked_services:
+            blocked_services.add(self.service)
+            block(BLOCKED_S)
+        return request_slot(self, request, now_s)
+
+    monkeypatch.setattr(Dispatcher, 'request_slot', request_slot_slowly)
+
+
+@pytest.mark.parametrize('node_count', [1, 3])
+async def test_replies_that_came_while_the_loop_was_blocked_are_used(
+    fleet, blocking_dispatcher, caplog, node_count
+):
+    """With several nodes, most requests have their home on another one."""
+    fleet.store.put('config', 'main', plan_spec())
+    await fleet.start_target('i-1')
+    nodes = await gather(
+        *(fleet.start_node(f'n{number}') for number in range(node_count))
+    )
+    responses = await gather(*(fetch(node, '/read/x') for node in nodes))
+    assert [response.status for response in responses] == [200] * node_count
+    assert HOME_SILENT.name not in caplog.text
+
+
+async def test_a_reply_of_this_node_is_used_after_the_loop_was_blocked(
+    fleet, monkeypatch
+):
+    """The first of two requests is due when the dispatcher handles it."""
+    fleet.store.put('config', 'main', plan_spec())
+    await fleet.start_target('i-1', slots=2)
+    node = await fleet.start_node('n1')
+    post = Dispatchers.post
+    posted_messages = []
+
+    def post_slowly(self, msg):
+        post(self, msg)
+        posted_messages.append(msg)
+        if len(posted_messages) == 2:
+            block(BLOCKED_S)
+
+    monkeypatch.setattr(Dispatchers, 'post', post_slowly)
+    slot_client = node.find('dispatch')
+    replies = await gather(
+        *(
+            slot_client.acquire_slot(
+                'stock',
+                SlotRequest(
+                    ticket=slot_client.new_ticket(),
+                    data_centre='z1',
+                    route='read',
+                    priority=1,
+                    idempotent=True,
+                    left_s=1.0,
+                    objective_s=0.6,
+                ),
+            )
+            for _ in range(2)
+        )
+    )
+    assert [type(reply) for reply in replies] == [GrantedSlot] * 2
