Targets that leave or pause: the rest of the proofs

A target that asks for a pause is tested with the store there, cut, and saying that the target is ready again (before, only leaving was). The at-most-once machine of carawayd's shards gains targets that leave, pause and are replaced as steps. carawayctl why is tested to name both reasons.

--- a/tests/commands/test_explain.py
+++ b/tests/commands/test_explain.py
@@ -96,6 +96,28 @@
     assert 'shed by i-1' in cause
 
 
+@pytest.mark.parametrize(
+    ('header', 'reason'),
+    [
+        (b'Retry-After: 30', 'all targets asked for a pause'),
+        (b'Server-Leaving: 1', 'all targets are leaving'),
+    ],
+)
+async def test_a_request_that_targets_wanted_no_more(
+    fleet, log_lines, header, reason
+):
+    """The first answer says so; the second request is not sent at all."""
+    answer = SHED_ANSWER.replace(b'Not-Executed', header + b'\r\nNot-Executed')
+    fleet.store.put('config', 'main', plan_spec())
+    await fleet.start_target('i-1', lambda number, data: Reply(data=answer))
+    node = await fleet.start_node('n1')
+    for request_id in ('first', 'lost'):
+        await fetch(node, '/read/x', request_id=request_id)
+    explanation = explain_request('lost', log_lines)
+    assert 'did not run' in explanation.cause
+    assert reason in explanation.cause
+
+
 async def test_a_request_without_a_route(fleet, log_lines):
     routes = [route_spec('read', '/read/')]
     fleet.store.put('config', 'main', plan_spec(3, routes))
--- a/tests/decisions/fleet_model.py
+++ b/tests/decisions/fleet_model.py
@@ -123,6 +123,8 @@
     `runs` counts how often each key ran, `first_sent_ms` is when a caller
     first sent it, `replies` are the (key, outcome) that callers got and
     `not_run_reported_ms` is when a caller was told that a key did not run.
+    The target wants no requests until `withheld_until_ms`, which is infinite
+    if it leaves.
     """
 
     def __init__(self, *, hosts=3, flaw=None):
@@ -130,6 +132,7 @@
         self.now_ms = 1_000_000
         self.log = []
         self.platform_up = True
+        self.withheld_until_ms = 0
         self.nodes = {}
         self.messages = []
         self.runs = {}
@@ -527,10 +530,12 @@
     def run_job(self, node, job):
         """Let an owner send a job to the target, which runs it.
 
-        A job whose deadline has passed is refused.
+        A job whose deadline has passed is refused, and so is one that comes
+        while the target leaves or has asked for a pause.
         """
         job.sent = True
-        if self.now_ms > job.accepted_ms + TIMEOUT_MS:
+        is_late = self.now_ms > job.accepted_ms + TIMEOUT_MS
+        if is_late or self.now_ms < self.withheld_until_ms:
             self.finish_job(node, job, 'Refuse')
             return
         self.runs[job.key] = self.runs.get(job.key, 0) + 1
--- a/tests/decisions/test_at_most_once.py
+++ b/tests/decisions/test_at_most_once.py
@@ -5,6 +5,8 @@
 find the fault in models that leave out one rule of the protocol.
 """
 
+from math import inf
+
 import pytest
 from hypothesis import HealthCheck, Phase, seed, settings
 from hypothesis import strategies as st
@@ -148,6 +150,14 @@
         if chosen is not None:
             self.model.finish_job(*chosen, 'Refuse')
 
+    @rule(pause_ms=st.sampled_from([300, 20_000, inf]))
+    def target_leaves_or_pauses(self, pause_ms):
+        self.model.withheld_until_ms = self.model.now_ms + pause_ms
+
+    @rule()
+    def target_is_replaced(self):
+        self.model.withheld_until_ms = 0
+
     @rule(number=PICK)
     def pause_node(self, number):
         node = self.pick(self.nodes(), number)
--- a/tests/gateway/test_backpressure.py
+++ b/tests/gateway/test_backpressure.py
@@ -170,8 +170,9 @@
     assert len(target.requests) == before
 
 
+@pytest.mark.parametrize('store', ['there', 'away', 'says ready again'])
 @pytest.mark.parametrize('homes', ['one home', 'each node a home'])
-async def test_a_target_that_asks_for_a_pause_gets_it(fleet, homes):
+async def test_a_target_that_asks_for_a_pause_gets_it(fleet, homes, store):
     asked = {}
 
     def reply(_number, data):
@@ -185,10 +186,13 @@
     nodes, target, _ = await start_service(fleet, reply)
     if homes == 'each node a home':
         isolate_homes(nodes)
-    first_asked = {}
-    load = send_load(nodes, load_s=0.4)
-    await load
-    first_asked.update(asked)
+    if store == 'away':
+        fleet.store.fault = 'cut'
+    await send_load(nodes, load_s=0.4)
+    first_asked = dict(asked)
+    if store == 'says ready again':
+        spec = fleet.store.objects['servers']['t1']['spec']
+        fleet.store.put('servers', 't1', spec | {'seq': 2, 'slots': 5})
     statuses = await send_load(nodes, load_s=PAUSE_S)
     assert first_asked
     for node in nodes:
