Changes in the store in quick succession share a watch and a broadcast

Each change ended the watch, was broadcast to all nodes and was followed by the next watch: when N nodes start, N registrations reach N nodes one by one, and cost N watches at each watcher. A watch that brought changes of members is now followed by the next after 0.5 s, of targets after 0.1 s. A change that comes alone is not delayed.

Before: 60 changes 10 ms apart, 60 watches and 60 broadcasts; after: at most one per pause (tests/gateway/test_store_watch.py; both cases failed before).

--- a/carawaylane/gateway/store_watch.py
+++ b/carawaylane/gateway/store_watch.py
@@ -40,6 +40,14 @@
     ObjectKind.TARGETS: 2.0,
     ObjectKind.MEMBERS: 10.0,
 }
+# Time from an answer with changes until the next watch. A change that comes
+# alone is not delayed. Changes in quick succession, such as the registrations
+# when a fleet starts, share a call and a broadcast to all nodes.
+WATCH_PAUSE_S = {
+    ObjectKind.PLAN: 0.0,
+    ObjectKind.TARGETS: 0.1,
+    ObjectKind.MEMBERS: 0.5,
+}
 # Period at which a node that does not watch checks whether it should.
 WATCH_CHECK_PERIOD_S = 0.2
 RETRY_DELAY_S = 0.4
@@ -240,6 +248,8 @@
         match result:
             case ObjectDelta():
                 self._apply_delta(kind, result)
+                if result.items:
+                    await sleep(WATCH_PAUSE_S[kind])
             case HistoryExpired():
                 emit(
                     HISTORY_EXPIRED,
