A node that starts gets its copies from the seeds, not from the store

The tasks that watch the store began before the node had joined: with itself as the only member it known, each starting node ranked first and listed and watched all three kinds.

They begin after the seeds (or, if none replies, the store's list of members) have told the node its rank. Seeds list at once, so that others find copies. Copies from seeds that are stale are listed anew; a node that gets none within 0.3 s lists itself.

Ruled out: waiting for a rank also at seeds.

--- a/carawaylane/gateway/object_sync.py
+++ b/carawaylane/gateway/object_sync.py
@@ -206,15 +206,19 @@
             if address is not None:
                 await self.sync_with(address)
 
-    def _sync_is_due(self) -> bool:
+    def has_stale_copies(self) -> bool:
+        """Return whether the routes or the targets may be out of date."""
         now_s = self.kernel.now_s()
         ages_s = [
             self._directory.replicas[kind].age_s(now_s)
             for kind in (ObjectKind.PLAN, ObjectKind.TARGETS)
         ]
         # The age of a copy grows by this period between two heartbeats.
-        is_stale = max(ages_s) > STALE_COPY_S + HEARTBEAT_PERIOD_S
-        return is_stale or now_s - self._last_sync_at_s > FRESH_SYNC_PERIOD_S
+        return max(ages_s) > STALE_COPY_S + HEARTBEAT_PERIOD_S
+
+    def _sync_is_due(self) -> bool:
+        synced_ago_s = self.kernel.now_s() - self._last_sync_at_s
+        return self.has_stale_copies() or synced_ago_s > FRESH_SYNC_PERIOD_S
 
     def _random_peer(self) -> str | None:
         """Return the address of a random peer, or of a seed if none is known.
--- a/carawaylane/gateway/store_watch.py
+++ b/carawaylane/gateway/store_watch.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
-from asyncio import sleep
+from asyncio import Event, sleep
 from typing import TYPE_CHECKING
 
 from attrs import evolve
 
-from carawaylane.decisions.dissemination import WATCH_SEED, should_watch
+from carawaylane.decisions.dissemination import (
+    STALE_S,
+    WATCH_SEED,
+    should_watch,
+)
 from carawaylane.gateway.object_sync import HEARTBEAT_PERIOD_S
 from carawaylane.kernel.service import Service, service
 from carawaylane.messages.platform_objects import Member
@@ -51,9 +55,16 @@
 # Period at which a node that does not watch checks whether it should.
 WATCH_CHECK_PERIOD_S = 0.2
 RETRY_DELAY_S = 0.4
-# Mean delay after which a starting node first asks for the list of members. At
-# a cold start, all nodes register at once, so that all are listed by then.
-JOIN_DELAY_S = 0.3
+# How often a starting node asks the seeds before it asks the store, and the
+# mean time between. At a cold start, the seeds get their copies meanwhile.
+SEED_TRIES = 4
+SEED_RETRY_DELAY_S = 0.08
+# A node that gets no copies from peers within this time after it has joined
+# lists the objects itself, whatever its rank.
+COPY_WAIT_S = 0.3
+# A node that got fresh copies from a seed does not watch for this time: the
+# members that start with it are not listed yet, so its rank is not known.
+RANK_WAIT_S = 1.0
 # A node whose object the copy of the members lacks for this long registers
 # again. A copy usually lags by less.
 UNLISTED_S = 1.0
@@ -83,6 +94,9 @@
         self._mark_lapsed_until_s = 0.0
         # Whether this node's object was in the store.
         self._registered = False
+        # Set once the watch loops may call the store.
+        self._joined = Event()
+        self._joined_at_s = 0.0
 
     async def start(self) -> None:
         """Start registering this node and watching the store."""
@@ -118,22 +132,44 @@
         await self._store.close()
 
     async def _join(self) -> None:
-        """Register, then get the list of members from seeds or the store."""
+        """Register, then get the list of members from seeds or the store.
+
+        A seed, which others ask, gets all its copies from the store at once.
+        """
         cfg = self.kernel.cfg
         own_member = self._own_member()
         self._directory.add_member(own_member)
         self.spawn(self._register(own_member))
-        await sleep(JOIN_DELAY_S * (0.5 + self.kernel.rng.random()))
-        while not self.kernel.draining:
+        if self._is_seed():
+            self._set_joined()
+        members = self._directory.replicas[ObjectKind.MEMBERS]
+        for _ in range(SEED_TRIES):
             await self._object_sync.sync_with_seeds()
             if self._directory.plan is not None:
                 break
+            await sleep(SEED_RETRY_DELAY_S * (0.5 + self.kernel.rng.random()))
+        while not self.kernel.draining and not members.revision:
             await self._list_objects(ObjectKind.MEMBERS)
-            if self._directory.replicas[ObjectKind.MEMBERS].revision:
-                break
-            await sleep(RETRY_DELAY_S)
+            if not members.revision:
+                await self._object_sync.sync_with_seeds()
+        if self._directory.plan is not None and (
+            self._object_sync.has_stale_copies()
+        ):
+            # The seeds may be cut off from the store.
+            for kind in (ObjectKind.PLAN, ObjectKind.TARGETS):
+                await self._list_objects(kind)
+        self._set_joined()
         emit(JOINED, member=cfg.name, members=len(self._directory.members))
 
+    def _set_joined(self) -> None:
+        if not self._joined.is_set():
+            self._joined_at_s = self.kernel.now_s()
+            self._joined.set()
+
+    def _is_seed(self) -> bool:
+        seeds = self.kernel.cfg.seeds
+        return not seeds or self.kernel.cfg.peer_listen in seeds
+
     def _own_member(self) -> Member:
         cfg = self.kernel.cfg
         return Member(
@@ -198,14 +234,26 @@
         )
 
     async def _watch_loop(self, kind: ObjectKind) -> None:
+        await self._joined.wait()
         while True:
-            if self.kernel.draining or not self._should_watch(kind):
+            has_copy = self._directory.replicas[kind].revision > 0
+            if self.kernel.draining:
                 await sleep(WATCH_CHECK_PERIOD_S)
-                continue
-            if self._directory.replicas[kind].revision == 0:
+            elif not has_copy and self._should_list(kind):
                 await self._list_objects(kind)
-            else:
+            elif has_copy and self._should_watch(kind):
                 await self._watch_objects(kind)
+            else:
+                await sleep(WATCH_CHECK_PERIOD_S)
+
+    def _should_list(self, kind: ObjectKind) -> bool:
+        """Return whether this node, which has no copy, gets it itself."""
+        waited_s = self.kernel.now_s() - self._joined_at_s
+        return (
+            self._is_seed()
+            or waited_s > COPY_WAIT_S
+            or self._should_watch(kind)
+        )
 
     async def _delay_retry(self) -> None:
         """Wait for a random time, so that not all nodes retry at once."""
@@ -219,7 +267,11 @@
         # The copy is not confirmed while the store holds a watch open.
         wait_s = WATCH_WAIT_S[kind]
         age_s = replica.age_s(self.kernel.now_s()) - wait_s
-        watches = should_watch(rank, age_s)
+        joined_for_s = self.kernel.now_s() - self._joined_at_s
+        rank_is_known = (
+            self._is_seed() or joined_for_s > RANK_WAIT_S or age_s > STALE_S
+        )
+        watches = rank_is_known and should_watch(rank, age_s)
         if kind is ObjectKind.PLAN and watches != self._watches_plan:
             self._watches_plan = watches
             emit(
--- a/standins/store.py
+++ b/standins/store.py
@@ -109,6 +109,7 @@
         if req.method == 'GET':
             if 'watch' in req.query:
                 return await self._watch(req, kind)
+            self.calls['list'] += 1
             return self._list(req, kind)
         if req.method == 'DELETE':
             removed = self.remove(kind, name)
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -96,7 +96,9 @@
             },
         )
 
-    async def start_node(self, name, *, ready=True, seeds=(), zone='z1'):
+    async def start_node(
+        self, name, *, ready=True, seeds=(), zone='z1', peer_listen=None
+    ):
         for module in SERVICE_MODULES.values():
             import_module(module)
         cfg = GatewaySettings(
@@ -104,7 +106,7 @@
             data_centre=zone,
             listen=f'127.0.0.1:{free_port()}',
             ready_listen=f'127.0.0.1:{free_port()}',
-            peer_listen=f'127.0.0.1:{free_port()}',
+            peer_listen=peer_listen or f'127.0.0.1:{free_port()}',
             metrics_port=free_port(),
             seeds=tuple(seeds),
             store_address=self.store_address,
--- a/tests/gateway/test_store_watch.py
+++ b/tests/gateway/test_store_watch.py
@@ -1,9 +1,10 @@
 """Tests of the calls that watch the platform's store."""
 
-from asyncio import sleep
+from asyncio import gather, sleep
 
 import pytest
 
+from bench.ports import free_port
 from carawaylane.gateway.store_watch import WATCH_PAUSE_S, WATCH_WAIT_S
 from carawaylane.messages.stored_objects import ObjectKind
 from tests.gateway.conftest import plan_spec
@@ -56,3 +57,81 @@
     assert (
         fleet.store.calls['GET'] - calls_before <= most_broadcasts + idle_calls
     )
+
+
+async def start_seeds(fleet, count):
+    """Start nodes that are the seeds; return their addresses for peers."""
+    fleet.store.put('config', 'main', plan_spec())
+    await fleet.start_target('i-1')
+    seeds = [f'127.0.0.1:{free_port()}' for _ in range(count)]
+    nodes = await gather(
+        *(
+            fleet.start_node(f'seed{i}', seeds=seeds, peer_listen=address)
+            for i, address in enumerate(seeds)
+        )
+    )
+    for node in nodes:
+        members = node.find('directory').members
+        await fleet.wait_until(lambda m=members: len(m) == count)
+    return seeds
+
+
+async def test_nodes_get_their_first_copies_from_seeds(fleet):
+    """Each node listed all objects in the store, which prices every call."""
+    seeds = await start_seeds(fleet, 3)
+    lists_before = fleet.store.calls['list']
+    creates_before = fleet.store.calls['POST']
+    nodes = await gather(
+        *(fleet.start_node(f'n{i}', seeds=seeds) for i in range(9))
+    )
+    for node in nodes:
+        members = node.find('directory').members
+        await fleet.wait_until(lambda m=members: len(m) == 12)
+    assert fleet.store.calls['list'] == lists_before
+    assert fleet.store.calls['POST'] == creates_before + len(nodes)
+
+
+@pytest.mark.parametrize('node_count', [1, 4])
+async def test_nodes_without_a_live_seed_get_their_copies_from_the_store(
+    fleet, node_count
+):
+    fleet.store.put('config', 'main', plan_spec())
+    await fleet.start_target('i-1')
+    seeds = [f'127.0.0.1:{free_port()}']
+    nodes = await gather(
+        *(
+            fleet.start_node(f'n{i}', seeds=seeds, ready=False)
+            for i in range(node_count)
+        )
+    )
+    for node in nodes:
+        await fleet.wait_until(node.find('callers').ready)
+        members = node.find('directory').members
+        await fleet.wait_until(lambda m=members: len(m) == node_count)
+
+
+async def test_a_node_that_starts_without_the_store_uses_its_seeds(fleet):
+    """It registers, and gets later changes, once the store answers."""
+    seeds = await start_seeds(fleet, 1)
+    fleet.store.fault = 'cut'
+    node = await fleet.start_node('n1', seeds=seeds)
+    fleet.store.fault = ''
+    fleet.store.put('config', 'main', plan_spec(2))
+    directory = node.find('directory')
+    await fleet.wait_until(lambda: directory.plan.version == 2)
+    await fleet.wait_until(lambda: 'n1' in fleet.store.objects['members'])
+
+
+async def test_a_seed_with_old_copies_does_not_keep_a_node_from_new_ones(
+    fleet,
+):
+    """The seed is cut off from the store, the node that starts is not."""
+    seeds = await start_seeds(fleet, 1)
+    store = fleet.nodes[0].find('store_watch')._store
+    store._url = 'http://127.0.0.1:9'
+    await store.close()
+    fleet.store.put('config', 'main', plan_spec(2))
+    node = await fleet.start_node('n1', seeds=seeds)
+    for running_node in (node, fleet.nodes[0]):
+        directory = running_node.find('directory')
+        await fleet.wait_until(lambda d=directory: d.plan.version == 2)
