Log lines of 50 ms share a wake-up of the writing thread and a write

Each line woke the thread, which waits for the interpreter's lock: about 11 futex calls and 4 writes for a request at its node (strace, 10 requests/s). flush_queue waits until the lines are written, not only taken.

test_lines_in_quick_succession_share_a_write failed before.

--- a/carawaylane/telemetry/log_writer.py
+++ b/carawaylane/telemetry/log_writer.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import logging as std_logging
+from contextlib import suppress
 from os import write
 from queue import Empty, Full, Queue
 from sys import stdout
-from threading import Thread
+from threading import Event, Thread
 from time import monotonic
 
 from attrs import Factory, define
@@ -20,6 +21,10 @@
 # Lines queued for a slow reader, about 1 MB.
 QUEUE_LINES = 4000
 FLUSH_TIMEOUT_S = 0.3
+# Lines are collected for this time before they are written: to wake the
+# writing thread costs more than a line.
+BATCH_S = 0.05
+BATCH_BYTES = 65536
 
 
 @define(kw_only=True)
@@ -70,6 +75,7 @@
         self._fd = stdout.fileno() if fd is None else fd
         self._limiter = LineRateLimiter()
         self._lines: Queue[bytes] = Queue(QUEUE_LINES)
+        self._is_flushing = Event()
         self._thread = Thread(target=self._write_lines, daemon=True)
         self._thread.start()
 
@@ -87,22 +93,28 @@
             self.dropped += 1
 
     def flush_queue(self) -> None:
-        """Wait briefly until the queued lines are taken by the writer."""
+        """Wait briefly until the queued lines are written."""
+        self._is_flushing.set()
         deadline_s = monotonic() + FLUSH_TIMEOUT_S
-        while not self._lines.empty() and monotonic() < deadline_s:
+        while self._lines.unfinished_tasks and monotonic() < deadline_s:
             self._thread.join(0.01)
+        self._is_flushing.clear()
 
     def _write_lines(self) -> None:
         while True:
-            data = self._lines.get()
-            try:
-                while len(data) < 65536:
-                    data += self._lines.get_nowait()
-            except Empty:
-                pass
+            lines = [self._lines.get()]
+            self._is_flushing.wait(BATCH_S)
+            size = len(lines[0])
+            with suppress(Empty):
+                while size < BATCH_BYTES:
+                    lines.append(self._lines.get_nowait())
+                    size += len(lines[-1])
+            data = b''.join(lines)
             try:
                 while data:
                     data = data[write(self._fd, data) :]
             except OSError:
                 # The reader closed standard output: nothing can be logged.
                 return
+            for _ in lines:
+                self._lines.task_done()
--- a/tests/telemetry/test_log_writer.py
+++ b/tests/telemetry/test_log_writer.py
@@ -3,9 +3,12 @@
 import logging as std_logging
 from json import loads
 from os import pipe, read
+from socket import AF_UNIX, SOCK_DGRAM, socketpair
+from time import monotonic, sleep
 
 from carawaylane.telemetry.events import JsonFormatter
 from carawaylane.telemetry.log_writer import (
+    BATCH_S,
     BURST_LINES,
     LINES_PER_S,
     QUEUE_LINES,
@@ -57,3 +60,37 @@
     row = loads(read(read_fd, 4096).splitlines()[0])
     assert (row['event'], row['text']) == (600, 'x')
     assert 'message' not in row
+
+
+def test_lines_in_quick_succession_share_a_write():
+    """Each write is one message of the socket."""
+    reader, writer = socketpair(AF_UNIX, SOCK_DGRAM)
+    reader.settimeout(5.0)
+    handler = StdoutHandler(fd=writer.fileno())
+    handler.setFormatter(JsonFormatter())
+    started_at_s = monotonic()
+    for number in range(100):
+        handler.emit(log_record(number))
+        sleep(0.001)
+    handler.flush_queue()
+    took_s = monotonic() - started_at_s
+    lines, writes = [], 0
+    while len(lines) < 100:
+        lines += reader.recv(1 << 20).splitlines()
+        writes += 1
+    assert [loads(line)['event'] for line in lines] == list(range(100))
+    # The first write and the flush do not wait for a whole batch.
+    assert writes <= took_s / BATCH_S + 2
+
+
+def test_a_flush_returns_after_the_last_line_was_written():
+    read_fd, write_fd = pipe()
+    handler = StdoutHandler(fd=write_fd)
+    handler.setFormatter(JsonFormatter())
+    for number in range(500):
+        handler.emit(log_record(number))
+    handler.flush_queue()
+    written = b''
+    while written.count(b'\n') < 500:
+        written += read(read_fd, 1 << 16)
+    assert loads(written.splitlines()[-1])['event'] == 499
