--- a/carawaylane/gateway/daemon.py
+++ b/carawaylane/gateway/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import sys
 from asyncio import get_running_loop, sleep
 from importlib import import_module
@@ -75,6 +76,20 @@
     return text, None if text == old_text else parse_boot_file(text)
 
 
+def import_services() -> None:
+    """Import the modules of the services.
+
+    Their objects live as long as the process. Garbage collections during the
+    imports, and later ones that visit these objects, would free nothing and
+    block the event loop.
+    """
+    gc.disable()
+    for module in SERVICE_MODULES.values():
+        import_module(module)
+    gc.enable()
+    gc.freeze()
+
+
 async def serve(path: Path) -> int:
     """Run the node until a signal or a failed task; return the exit code."""
     text, cfg = read_settings(path)
@@ -88,8 +103,7 @@
         loop.add_signal_handler(sig, kernel.stop_requested.set)
     # SIGHUP would end the process; the reload loop sees changes without it.
     signal(SIGHUP, SIG_IGN)
-    for module in SERVICE_MODULES.values():
-        import_module(module)
+    import_services()
     kernel.create_services(tuple(SERVICE_MODULES))
     try:
         await kernel.start()
--- a/tests/gateway/test_daemon.py
+++ b/tests/gateway/test_daemon.py
@@ -1,5 +1,6 @@
 """Tests of the daemon process: boot file, log, signals and reload."""
 
+import gc
 import sys
 from asyncio import (
     create_subprocess_exec,
@@ -18,7 +19,7 @@
 
 from bench.ports import free_port
 from carawaylane.gateway import daemon
-from carawaylane.gateway.daemon import EXIT_BAD_SETTINGS
+from carawaylane.gateway.daemon import EXIT_BAD_SETTINGS, import_services
 from carawaylane.kernel.kernel import Kernel
 from carawaylane.platform.boot import BOOT_FILE_VARIABLE, parse_boot_file
 from standins.raw_target import Reply
@@ -180,3 +181,16 @@
     assert kernel.cfg.bounds.grace_s == 9
     assert not task.done()
     task.cancel()
+
+
+def test_garbage_collections_do_not_visit_the_modules():
+    """A collection of all objects after a start took 30 to 50 ms."""
+    gc.unfreeze()
+    try:
+        import_services()
+        assert gc.isenabled()
+        frozen = gc.get_freeze_count()
+        assert frozen > 0
+        assert len(gc.get_objects()) < frozen / 10
+    finally:
+        gc.unfreeze()
