A silent seed does not delay a start

The syncs with all seeds were awaited together. A node now joins as soon as one of them has brought copies, and after 0.35 s without any.

--- a/carawaylane/gateway/store_watch.py
+++ b/carawaylane/gateway/store_watch.py
@@ -55,10 +55,12 @@
 # Period at which a node that does not watch checks whether it should.
 WATCH_CHECK_PERIOD_S = 0.2
 RETRY_DELAY_S = 0.4
-# How often a starting node asks the seeds before it asks the store, and the
-# mean time between. At a cold start, the seeds get their copies meanwhile.
-SEED_TRIES = 4
+# A starting node asks the seeds again at this mean period until one of them
+# has copies, and asks the store after this time. At a cold start, the seeds
+# get their copies meanwhile.
 SEED_RETRY_DELAY_S = 0.08
+SEED_WAIT_S = 0.35
+SEED_POLL_S = 0.02
 # A node that gets no copies from peers within this time after it has joined
 # lists the objects itself, whatever its rank.
 COPY_WAIT_S = 0.3
@@ -142,16 +144,17 @@
         self.spawn(self._register(own_member))
         if self._is_seed():
             self._set_joined()
+        # A seed that does not reply must not delay the copies of another.
+        self.spawn(self._ask_seeds())
+        asked_at_s = self.kernel.now_s()
+        while (
+            self._directory.plan is None
+            and self.kernel.now_s() - asked_at_s < SEED_WAIT_S
+        ):
+            await sleep(SEED_POLL_S)
         members = self._directory.replicas[ObjectKind.MEMBERS]
-        for _ in range(SEED_TRIES):
-            await self._object_sync.sync_with_seeds()
-            if self._directory.plan is not None:
-                break
-            await sleep(SEED_RETRY_DELAY_S * (0.5 + self.kernel.rng.random()))
         while not self.kernel.draining and not members.revision:
             await self._list_objects(ObjectKind.MEMBERS)
-            if not members.revision:
-                await self._object_sync.sync_with_seeds()
         if self._directory.plan is not None and (
             self._object_sync.has_stale_copies()
         ):
@@ -161,6 +164,11 @@
         self._set_joined()
         emit(JOINED, member=cfg.name, members=len(self._directory.members))
 
+    async def _ask_seeds(self) -> None:
+        while self._directory.plan is None and not self.kernel.draining:
+            await self._object_sync.sync_with_seeds()
+            await sleep(SEED_RETRY_DELAY_S * (0.5 + self.kernel.rng.random()))
+
     def _set_joined(self) -> None:
         if not self._joined.is_set():
             self._joined_at_s = self.kernel.now_s()
--- a/tests/gateway/test_store_watch.py
+++ b/tests/gateway/test_store_watch.py
@@ -1,13 +1,14 @@
 """Tests of the calls that watch the platform's store."""
 
-from asyncio import gather, sleep
+from asyncio import gather, sleep, start_server
 
 import pytest
 
 from bench.ports import free_port
+from carawaylane.gateway import links
 from carawaylane.gateway.store_watch import WATCH_PAUSE_S, WATCH_WAIT_S
 from carawaylane.messages.stored_objects import ObjectKind
-from tests.gateway.conftest import plan_spec
+from tests.gateway.conftest import READY_TIMEOUT_S, plan_spec
 
 CHANGE_COUNT, CHANGE_INTERVAL_S = 60, 0.01
 
@@ -135,3 +136,25 @@
     for running_node in (node, fleet.nodes[0]):
         directory = running_node.find('directory')
         await fleet.wait_until(lambda d=directory: d.plan.version == 2)
+
+
+async def test_a_silent_seed_does_not_delay_the_copies_of_another(
+    fleet, monkeypatch
+):
+    """A call to it would end long after the test."""
+    monkeypatch.setattr(links, 'CALL_TIMEOUT_S', 10 * READY_TIMEOUT_S)
+    seeds = await start_seeds(fleet, 1)
+
+    async def accept(reader, writer):
+        await reader.read()
+        writer.close()
+
+    server = await start_server(accept, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    lists_before = fleet.store.calls['list']
+    node = await fleet.start_node('n1', seeds=[f'127.0.0.1:{port}', *seeds])
+    members = node.find('directory').members
+    await fleet.wait_until(lambda: len(members) == 2)
+    await fleet.wait_until(node.find('store_watch')._joined.is_set)
+    assert fleet.store.calls['list'] == lists_before
+    server.close()
