Requests wait for a starting node's first configuration and targets

A request that comes before the first copies now waits for them, 1 s at most and within the caller's deadline; a home keeps requests for slots until it knows targets. The test of the 503 without a configuration only shortens the wait. Two new tests failed before.

--- a/carawaylane/gateway/callers.py
+++ b/carawaylane/gateway/callers.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from asyncio import AbstractServer, get_running_loop, sleep, timeout
+from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 from urllib.parse import urlsplit
 
@@ -34,6 +35,7 @@
     from carawaylane.kernel.kernel import Kernel
     from carawaylane.messages.outcomes import Headers
     from carawaylane.messages.platform_objects import Route
+    from carawaylane.platform.headers import RequestHeaders
 
 # Maximum number of connections that wait to be accepted.
 LISTEN_BACKLOG = 1024
@@ -47,6 +49,9 @@
 # The drain ends this long before the platform kills the process.
 EXIT_MARGIN_S = 0.6
 NO_PLAN_RETRY_AFTER_S = 0.3
+# A request that comes before this node knows routes and targets waits for
+# them. A node that starts usually gets them from a peer within this time.
+FIRST_COPIES_WAIT_S = 1.0
 # An answer is sent this long before the caller's deadline, so that it arrives
 # in time.
 ANSWER_DELIVERY_S = 0.03
@@ -215,6 +220,9 @@
         host, path = _host_and_path(req)
         if host is None:
             return _ErrorResponse(status=400, reason='not one host is named')
+        headers = read_request_headers(req.headers)
+        if not self._directory.has_routes_and_targets():
+            await self._wait_for_first_copies(headers)
         if self._directory.plan is None:
             return _ErrorResponse(
                 status=503,
@@ -224,7 +232,6 @@
         route = self._directory.route_table.find(host, path.partition('?')[0])
         if route is None:
             return _ErrorResponse(status=404, reason='no route matches')
-        headers = read_request_headers(req.headers)
         if headers is None:
             return _ErrorResponse(
                 status=400, reason='the time left is no number'
@@ -255,6 +262,16 @@
             digest=_request_digest(route, req.method, path, body),
         )
 
+    async def _wait_for_first_copies(
+        self, headers: RequestHeaders | None
+    ) -> None:
+        wait_s = FIRST_COPIES_WAIT_S
+        if headers is not None and headers.time_left_s is not None:
+            wait_s = min(wait_s, headers.time_left_s - ANSWER_DELIVERY_S)
+        with suppress(TimeoutError):
+            async with timeout(wait_s):
+                await self._directory.first_copies.wait()
+
     async def _read_body(
         self, req: web.BaseRequest, time_left_s: float
     ) -> bytes | _ErrorResponse:
--- a/carawaylane/gateway/directory.py
+++ b/carawaylane/gateway/directory.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from asyncio import get_running_loop
+from asyncio import Event, get_running_loop
 from typing import TYPE_CHECKING, Any
 
 from attrs import frozen
@@ -78,6 +78,8 @@
         self.members: dict[str, Member] = {}
         self._subscribers: list[Actor] = []
         self._ranked_names: dict[tuple[str, str | None], list[str]] = {}
+        # Set once both routes and targets have been received.
+        self.first_copies = Event()
 
     def subscribe(self, subscriber: Actor) -> None:
         """Post `TargetsChanged` to the actor whenever targets change."""
@@ -85,10 +87,11 @@
 
     def has_routes_and_targets(self) -> bool:
         """Return whether both have been received, from the store or a peer."""
-        return (
-            self.plan is not None
-            and self.replicas[ObjectKind.TARGETS].revision > 0
-        )
+        return self.plan is not None and self.has_targets()
+
+    def has_targets(self) -> bool:
+        """Return whether the list of targets has been received."""
+        return self.replicas[ObjectKind.TARGETS].revision > 0
 
     def targets_of(self, service_name: str) -> list[TargetSpec]:
         """Return the targets of a service."""
@@ -145,6 +148,8 @@
         if changed_names:
             items = [replica.items[name] for name in changed_names]
             _UPDATE_METHODS[kind](self, items)
+        if self.has_routes_and_targets():
+            self.first_copies.set()
         return True
 
     def _log_restore(self, kind: ObjectKind, revision_before: int) -> None:
--- a/carawaylane/gateway/dispatchers.py
+++ b/carawaylane/gateway/dispatchers.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from asyncio import Event, sleep, timeout
+from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
 from typing import TYPE_CHECKING
@@ -44,6 +45,8 @@
 # period: a request accepts more risk the longer it waits, and is refused once
 # its answer would be too late.
 QUEUE_PERIOD_S = 0.02
+# Requests kept until the first targets are known; entries wait only briefly.
+MAX_EARLY_REQUESTS = 1000
 # Dispatchers with an empty queue are run at this longer period, so that they
 # drop requests in flight whose entry will no longer report a result.
 IDLE_PERIOD_S = 0.5
@@ -98,6 +101,10 @@
         super().__init__(kernel=kernel)
         self.dispatchers: dict[str, Dispatcher] = {}
         self._reply_callbacks: dict[Ticket, Callable[[SlotReply], None]] = {}
+        # Requests that came before this node knew any target.
+        self._early_requests: deque[RequestSlot] = deque(
+            maxlen=MAX_EARLY_REQUESTS
+        )
         # Set when a request is queued or a dispatcher is created.
         self._wakeup = Event()
         # Services whose targets have changed since their queue was served.
@@ -139,9 +146,14 @@
                 self._directory.targets_of(service_name), now_s
             )
             self._changed_services.add(service_name)
+        while self._early_requests:
+            self._request_slot(self._early_requests.popleft())
 
     @handles(RequestSlot)
     def _request_slot(self, msg: RequestSlot) -> None:
+        if not self._directory.has_targets():
+            self._early_requests.append(msg)
+            return
         dispatcher = self.dispatcher(msg.service)
         dispatcher.retry_budget.members = len(self._directory.members)
         reply = dispatcher.request_slot(msg.request, self.kernel.now_s())
--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -1,10 +1,12 @@
 """Tests of the server for callers: routing, refusals, unchanged bytes."""
 
-from asyncio import sleep
+from asyncio import create_task, sleep
 
+from carawaylane.gateway import callers
 from standins.raw_target import Reply
 from tests.gateway.conftest import (
     HOST,
+    READY_TIMEOUT_S,
     connect,
     fetch,
     plan_spec,
@@ -50,7 +52,10 @@
     assert target.requests[0].startswith(b'GET /read/1?a=b HTTP/1.1')
 
 
-async def test_before_a_configuration_is_known_the_answer_is_503(fleet):
+async def test_before_a_configuration_is_known_the_answer_is_503(
+    fleet, monkeypatch
+):
+    monkeypatch.setattr(callers, 'FIRST_COPIES_WAIT_S', 0.1)
     fleet.store.fault = 'busy'
     node = await fleet.start_node('n1', ready=False)
     response = await fetch(node, '/read/x')
@@ -59,6 +64,24 @@
     assert not node.find('callers').ready()
 
 
+async def test_a_request_waits_for_the_first_configuration(fleet, monkeypatch):
+    """After a loss of power, starting nodes refused 83 requests for it."""
+    monkeypatch.setattr(callers, 'FIRST_COPIES_WAIT_S', READY_TIMEOUT_S)
+    fleet.store.put('config', 'main', plan_spec())
+    await fleet.start_target('i-1')
+    fleet.store.fault = 'busy'
+    node = await fleet.start_node('n1', ready=False)
+    responses = [
+        create_task(fetch(node, '/read/x')),
+        create_task(fetch(node, '/read/x', Deadline_Ms='50')),
+    ]
+    # The caller's own deadline ends the wait sooner.
+    assert (await responses[1]).status == 503
+    assert not responses[0].done()
+    fleet.store.fault = ''
+    assert (await responses[0]).status == 200
+
+
 async def test_only_a_known_configuration_gives_404(fleet):
     fleet.store.put('config', 'main', plan_spec())
     node = await fleet.start_node('n1')
--- a/tests/gateway/test_dispatchers.py
+++ b/tests/gateway/test_dispatchers.py
@@ -8,8 +8,9 @@
     IDLE_PERIOD_S,
     QUEUE_PERIOD_S,
     ReportResult,
+    RequestSlot,
 )
-from carawaylane.messages.dispatch import SlotRequest
+from carawaylane.messages.dispatch import Grant, SlotRequest
 from tests.gateway.conftest import fetch, plan_spec
 
 
@@ -106,3 +107,24 @@
     )
     await sleep(0.1)
     assert (await fetch(node, '/read/2')).status == 200
+
+
+async def test_a_home_replies_once_it_knows_the_first_targets(fleet):
+    """Entries that learned the targets sooner were refused."""
+    fleet.store.put('config', 'main', plan_spec())
+    await fleet.start_target('i-1')
+    fleet.store.fault = 'busy'
+    node = await fleet.start_node('n1', ready=False)
+    replies = []
+    node.find('dispatchers').post(
+        RequestSlot(
+            service='stock',
+            request=slot_request(('n2', 1)),
+            on_reply=replies.append,
+        )
+    )
+    await sleep(2 * QUEUE_PERIOD_S)
+    assert replies == []
+    fleet.store.fault = ''
+    await fleet.wait_until(lambda: replies)
+    assert [type(reply) for reply in replies] == [Grant]
