--- a/carawaylane/services/targets.py
+++ b/carawaylane/services/targets.py
@@ -22,6 +22,7 @@
 from attrs import frozen
 from multidict import CIMultiDict
 
+from carawaylane.kernel.timeouts import reply_timeout
 from carawaylane.messages.outcomes import NO_BACKPRESSURE
 from carawaylane.services.response_handler import BoundedResponseHandler
 
@@ -203,7 +204,7 @@
         """
         host, _, port = self.address.rpartition(':')
         try:
-            async with timeout(LIVENESS_CONNECT_TIMEOUT_S):
+            async with reply_timeout(LIVENESS_CONNECT_TIMEOUT_S):
                 reader, writer = await open_connection(host, int(port))
         except OSError:
             return False
@@ -237,7 +238,7 @@
             sock_read=options.read_timeout_s,
         )
         try:
-            async with timeout(options.head_timeout_s):
+            async with reply_timeout(options.head_timeout_s):
                 resp = await session.request(
                     req.method,
                     f'http://{self.address}{req.path}',
