--- a/carawaylane/telemetry/log_writer.py
+++ b/carawaylane/telemetry/log_writer.py
@@ -23,7 +23,7 @@
 FLUSH_TIMEOUT_S = 0.3
 # Lines are collected for this time before they are written: to wake the
 # writing thread costs more than a line.
-BATCH_S = 0.05
+BATCH_S = 0.2
 BATCH_BYTES = 65536
 
 
