--- a/standins/raw_target.py
+++ b/standins/raw_target.py
@@ -11,7 +11,7 @@
 from struct import pack
 from time import monotonic
 
-from attrs import Factory, define
+from attrs import Factory, define, evolve
 
 # An endless answer is written in blocks, and cut off after the cap.
 ENDLESS_BLOCK_BYTES = 65536
@@ -22,6 +22,12 @@
     b'HTTP/1.1 200 OK\r\nRequest-Id: @ID@\r\nResponse-Seal: s\r\n'
     b'Content-Length: 2\r\n\r\nok'
 )
+LEAVING_LINE = b'\r\nServer-Leaving: 1\r\n'
+# With the pause that the target asks for, in seconds.
+PAUSED = (
+    b'HTTP/1.1 503 Service Unavailable\r\nRequest-Id: @ID@\r\n'
+    b'Not-Executed: 1\r\nRetry-After: %s\r\nContent-Length: 0\r\n\r\n'
+)
 
 
 @define(kw_only=True)
@@ -48,8 +54,9 @@
     It records the bytes of each request. `aborted_requests` counts requests
     that hung until the client closed the connection; `close` stops
     listening; whoever starts the server sets it. Each answer names
-    `rate_limit_per_s`, if it is set, and says that the target leaves while
-    `leaving` is set.
+    `rate_limit_per_s`, if it is set. While `leaving` is set, the share
+    `told_share` of the answers says that the target leaves; while `pause_s` is
+    set, the same share of requests is refused for a pause of this time.
     """
 
     plan: Callable[[int, bytes], Reply] = lambda _number, _data: Reply()
@@ -61,6 +68,8 @@
     endless_bytes: list[int] = Factory(list)
     rate_limit_per_s: float | None = None
     leaving: bool = False
+    pause_s: float | None = None
+    told_share: float = 1.0
     close: Callable[[], None] = lambda: None
 
     async def serve(self, reader: StreamReader, writer: StreamWriter) -> None:
@@ -71,7 +80,7 @@
                 data = await _read_request(reader)
                 self.requests.append(data)
                 self.arrival_times_s.append(monotonic())
-                reply = self.plan(len(self.requests), data)
+                reply = self._next_reply(data)
                 if not await self._answer(reply, data, reader, writer):
                     return
         except (IncompleteReadError, ConnectionError):
@@ -79,6 +88,19 @@
         finally:
             writer.close()
 
+    def _next_reply(self, data: bytes) -> Reply:
+        number = len(self.requests)
+        reply = self.plan(number, data)
+        told_before = int((number - 1) * self.told_share)
+        if int(number * self.told_share) == told_before:
+            return reply
+        if self.pause_s is not None:
+            return Reply(data=PAUSED % str(self.pause_s).encode())
+        if self.leaving:
+            told = reply.data.replace(b'\r\n', LEAVING_LINE, 1)
+            return evolve(reply, data=told)
+        return reply
+
     async def _answer(
         self,
         reply: Reply,
@@ -95,9 +117,6 @@
         if self.rate_limit_per_s is not None:
             header = f'\r\nServer-Limit: {self.rate_limit_per_s}\r\n'
             answer = answer.replace(b'\r\n', header.encode(), 1)
-        if self.leaving:
-            header = '\r\nServer-Leaving: 1\r\n'
-            answer = answer.replace(b'\r\n', header.encode(), 1)
         writer.write(answer)
         if reply.endless:
             await self._send_endless(reply.endless, writer)
--- a/tests/gateway/test_backpressure.py
+++ b/tests/gateway/test_backpressure.py
@@ -6,7 +6,7 @@
 import pytest
 
 from carawaylane.decisions.dispatcher import PAUSE_RETRY_SPREAD
-from standins.raw_target import OK, Reply
+from standins.raw_target import OK, PAUSED, Reply
 from tests.gateway.conftest import fetch
 from tests.gateway.test_cut_off_nodes import cut_off
 from tests.gateway.test_rate_limits import isolate_homes, start_nodes
@@ -16,14 +16,10 @@
 # passed on its answer; one that asked for a pause gets two requests at most
 # from half a second after its answer until the end of the pause.
 MAX_IN_PAUSE, PAUSE_GRACE_S = 2, 0.5
-PAUSED = (
-    b'HTTP/1.1 503 Service Unavailable\r\nRequest-Id: @ID@\r\n'
-    b'Not-Executed: 1\r\nRetry-After: @PAUSE@\r\nContent-Length: 0\r\n\r\n'
-)
 
 
 def paused_for(text):
-    return PAUSED.replace(b'@PAUSE@', text.encode())
+    return PAUSED % text.encode()
 
 
 def node_of(data):
@@ -106,6 +102,39 @@
     assert set(statuses) == {200}
 
 
+async def test_a_target_that_says_so_in_few_answers(fleet):
+    """A node is bound by the first answer that says it."""
+    nodes, leaving, _ = await start_service(fleet)
+    isolate_homes(nodes)
+    leaving.told_share = 0.3
+    leaving.leaving = True
+    await send_load(nodes, load_s=2.0)
+    before = len(leaving.requests)
+    statuses = await send_load(nodes, load_s=1.0)
+    assert len(leaving.requests) == before
+    assert set(statuses) == {200}
+
+
+async def test_a_pause_that_begins_under_load_is_kept(fleet):
+    """Each node learns of it by itself, when it has requests in flight."""
+    nodes, pausing, _ = await start_service(fleet)
+    isolate_homes(nodes)
+    await send_load(nodes, load_s=0.3)
+    before = len(pausing.requests)
+    pausing.pause_s = 60.0
+    await send_load(nodes, load_s=1.0)
+    started_at_s = monotonic()
+    await send_load(nodes, load_s=1.0)
+    for node in nodes:
+        in_pause = [
+            at_s
+            for at_s in arrivals(pausing, node)
+            if at_s > started_at_s + PAUSE_GRACE_S
+        ]
+        assert len(in_pause) <= MAX_IN_PAUSE
+    assert len(pausing.requests) > before
+
+
 async def test_one_answer_spares_the_other_nodes(fleet):
     """The home grants a target to nobody once an entry has heard of it."""
     nodes, leaving, _ = await start_service(fleet)
