--- a/carawaylane/gateway/links.py
+++ b/carawaylane/gateway/links.py
@@ -141,11 +141,17 @@
         await super().stop()
         self._channels.close()
 
-    async def call(self, address: str, method: str, msg: Message) -> Any:
+    async def call(
+        self,
+        address: str,
+        method: str,
+        msg: Message,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> Any:
         """Call a method of a peer; return None if it fails or times out."""
         with self._channels.use(address) as shared:
             try:
-                async with reply_timeout(CALL_TIMEOUT_S):
+                async with reply_timeout(timeout_s):
                     with closed_connection_is_reset():
                         stub = FleetStub(shared.channel)
                         return await getattr(stub, method)(msg)
--- a/carawaylane/gateway/object_sync.py
+++ b/carawaylane/gateway/object_sync.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from carawaylane.decisions.dissemination import WATCH_SEED, broadcast_children
+from carawaylane.gateway.links import CALL_TIMEOUT_S
 from carawaylane.kernel.service import Service, service
 from carawaylane.messages.stored_objects import ObjectDelta, ObjectKind
 from carawaylane.rpc.fleet_codec import pack_delta, unpack_delta
@@ -69,7 +70,9 @@
         """Tell the nodes of this data centre how fresh the copies are."""
         self._send_to_children(self.kernel.cfg.name, self._copy_states())
 
-    async def sync_with(self, address: str) -> bool:
+    async def sync_with(
+        self, address: str, timeout_s: float = CALL_TIMEOUT_S
+    ) -> bool:
         """Get the changes that a peer has; return whether it replied.
 
         Does nothing if a call to the peer is already in progress.
@@ -81,7 +84,9 @@
             msg = SyncRequest(
                 source=self._own_address(), known=self._copy_states()
             )
-            reply = await self._peer_channels.call(address, 'Sync', msg)
+            reply = await self._peer_channels.call(
+                address, 'Sync', msg, timeout_s
+            )
         finally:
             self._syncing.discard(address)
         if reply is None:
@@ -244,11 +249,11 @@
         ]
         return self.kernel.rng.choice(addresses) if addresses else None
 
-    async def sync_with_seeds(self) -> None:
+    async def sync_with_seeds(self, timeout_s: float) -> None:
         """Get the changes that the seeds have, the peers in the settings."""
         own_address = self._own_address()
         seeds = [seed for seed in self.kernel.cfg.seeds if seed != own_address]
-        await gather(*(self.sync_with(seed) for seed in seeds))
+        await gather(*(self.sync_with(seed, timeout_s) for seed in seeds))
 
     def _own_address(self) -> str:
         return self.kernel.cfg.peer_listen
--- a/carawaylane/gateway/store_watch.py
+++ b/carawaylane/gateway/store_watch.py
@@ -59,6 +59,9 @@
 # has copies, and asks the store after this time. At a cold start, the seeds
 # get their copies meanwhile.
 SEED_RETRY_DELAY_S = 0.08
+# Packets to a seed that does not listen yet may get no reply, not even an
+# error, so that each try needs a connection of its own.
+SEED_CALL_TIMEOUT_S = 0.12
 SEED_WAIT_S = 0.35
 SEED_POLL_S = 0.02
 # A node that gets no copies from peers within this time after it has joined
@@ -166,7 +169,7 @@
 
     async def _ask_seeds(self) -> None:
         while self._directory.plan is None and not self.kernel.draining:
-            await self._object_sync.sync_with_seeds()
+            await self._object_sync.sync_with_seeds(SEED_CALL_TIMEOUT_S)
             await sleep(SEED_RETRY_DELAY_S * (0.5 + self.kernel.rng.random()))
 
     def _set_joined(self) -> None:
--- a/tests/gateway/test_store_watch.py
+++ b/tests/gateway/test_store_watch.py
@@ -5,7 +5,7 @@
 import pytest
 
 from bench.ports import free_port
-from carawaylane.gateway import links
+from carawaylane.gateway import links, store_watch
 from carawaylane.gateway.store_watch import WATCH_PAUSE_S, WATCH_WAIT_S
 from carawaylane.messages.stored_objects import ObjectKind
 from tests.gateway.conftest import READY_TIMEOUT_S, plan_spec
@@ -142,7 +142,9 @@
     fleet, monkeypatch
 ):
     """A call to it would end long after the test."""
-    monkeypatch.setattr(links, 'CALL_TIMEOUT_S', 10 * READY_TIMEOUT_S)
+    monkeypatch.setattr(
+        store_watch, 'SEED_CALL_TIMEOUT_S', 10 * READY_TIMEOUT_S
+    )
     seeds = await start_seeds(fleet, 1)
 
     async def accept(reader, writer):
@@ -158,3 +160,30 @@
     await fleet.wait_until(node.find('store_watch')._joined.is_set)
     assert fleet.store.calls['list'] == lists_before
     server.close()
+
+
+async def test_a_seed_that_first_swallows_connections_is_asked_again(
+    fleet, monkeypatch
+):
+    """Like one whose machine is up before it listens."""
+    monkeypatch.setattr(links, 'CALL_TIMEOUT_S', 10 * READY_TIMEOUT_S)
+    monkeypatch.setattr(store_watch, 'SEED_WAIT_S', READY_TIMEOUT_S)
+    swallowed = []
+
+    async def swallow(reader, writer):
+        swallowed.append(writer)
+        await reader.read()
+
+    server = await start_server(swallow, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    seed = f'127.0.0.1:{port}'
+    node = await fleet.start_node('n1', seeds=[seed], ready=False)
+    await fleet.wait_until(lambda: len(swallowed) == 2)
+    server.close()
+    await server.wait_closed()
+    for writer in swallowed:
+        writer.close()
+    fleet.store.put('config', 'main', plan_spec())
+    await fleet.start_target('i-1')
+    await fleet.start_node('seed', seeds=[seed], peer_listen=seed)
+    await fleet.wait_until(node.find('callers').ready)
