--- a/carawaylane/gateway/links.py
+++ b/carawaylane/gateway/links.py
@@ -146,12 +146,14 @@
         address: str,
         method: str,
         msg: Message,
-        timeout_s: float = CALL_TIMEOUT_S,
+        connect_timeout_s: float = CALL_TIMEOUT_S,
     ) -> Any:
         """Call a method of a peer; return None if it fails or times out."""
         with self._channels.use(address) as shared:
             try:
-                async with reply_timeout(timeout_s):
+                async with reply_timeout(connect_timeout_s):
+                    await shared.channel.__connect__()
+                async with reply_timeout(CALL_TIMEOUT_S):
                     with closed_connection_is_reset():
                         stub = FleetStub(shared.channel)
                         return await getattr(stub, method)(msg)
--- a/carawaylane/gateway/object_sync.py
+++ b/carawaylane/gateway/object_sync.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from asyncio import gather, sleep
+from asyncio import sleep
 from typing import TYPE_CHECKING
 
 from carawaylane.decisions.dissemination import WATCH_SEED, broadcast_children
@@ -71,7 +71,7 @@
         self._send_to_children(self.kernel.cfg.name, self._copy_states())
 
     async def sync_with(
-        self, address: str, timeout_s: float = CALL_TIMEOUT_S
+        self, address: str, connect_timeout_s: float = CALL_TIMEOUT_S
     ) -> bool:
         """Get the changes that a peer has; return whether it replied.
 
@@ -85,7 +85,7 @@
                 source=self._own_address(), known=self._copy_states()
             )
             reply = await self._peer_channels.call(
-                address, 'Sync', msg, timeout_s
+                address, 'Sync', msg, connect_timeout_s
             )
         finally:
             self._syncing.discard(address)
@@ -242,18 +242,13 @@
             for member in self._directory.members_of(data_centre)
             if member.name != self.kernel.cfg.name
         ]
-        addresses = addresses or [
-            seed
-            for seed in self.kernel.cfg.seeds
-            if seed != self._own_address()
-        ]
+        addresses = addresses or self.other_seeds()
         return self.kernel.rng.choice(addresses) if addresses else None
 
-    async def sync_with_seeds(self, timeout_s: float) -> None:
-        """Get the changes that the seeds have, the peers in the settings."""
+    def other_seeds(self) -> list[str]:
+        """Return the addresses of the seeds, without this node."""
         own_address = self._own_address()
-        seeds = [seed for seed in self.kernel.cfg.seeds if seed != own_address]
-        await gather(*(self.sync_with(seed, timeout_s) for seed in seeds))
+        return [seed for seed in self.kernel.cfg.seeds if seed != own_address]
 
     def _own_address(self) -> str:
         return self.kernel.cfg.peer_listen
--- a/carawaylane/gateway/store_watch.py
+++ b/carawaylane/gateway/store_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from asyncio import Event, sleep
+from itertools import cycle
 from typing import TYPE_CHECKING
 
 from attrs import evolve
@@ -55,15 +56,15 @@
 # Period at which a node that does not watch checks whether it should.
 WATCH_CHECK_PERIOD_S = 0.2
 RETRY_DELAY_S = 0.4
-# A starting node asks the seeds again at this mean period until one of them
-# has copies, and asks the store after this time. At a cold start, the seeds
+# A starting node asks one seed after the other at this period until one has
+# sent copies, and asks the store after SEED_WAIT_S. At a cold start, the seeds
 # get their copies meanwhile.
-SEED_RETRY_DELAY_S = 0.08
-# Packets to a seed that does not listen yet may get no reply, not even an
-# error, so that each try needs a connection of its own.
-SEED_CALL_TIMEOUT_S = 0.12
+SEED_PERIOD_S = 0.08
 SEED_WAIT_S = 0.35
 SEED_POLL_S = 0.02
+# Packets to a seed that does not listen yet may get no reply, not even an
+# error, so that the next try needs a connection of its own.
+SEED_CONNECT_TIMEOUT_S = 0.12
 # A node that gets no copies from peers within this time after it has joined
 # lists the objects itself, whatever its rank.
 COPY_WAIT_S = 0.3
@@ -147,7 +148,6 @@
         self.spawn(self._register(own_member))
         if self._is_seed():
             self._set_joined()
-        # A seed that does not reply must not delay the copies of another.
         self.spawn(self._ask_seeds())
         asked_at_s = self.kernel.now_s()
         while (
@@ -168,9 +168,19 @@
         emit(JOINED, member=cfg.name, members=len(self._directory.members))
 
     async def _ask_seeds(self) -> None:
-        while self._directory.plan is None and not self.kernel.draining:
-            await self._object_sync.sync_with_seeds(SEED_CALL_TIMEOUT_S)
-            await sleep(SEED_RETRY_DELAY_S * (0.5 + self.kernel.rng.random()))
+        """Ask one seed after the other, as each sends all objects.
+
+        One that does not reply does not delay the next.
+        """
+        seeds = self._object_sync.other_seeds()
+        self.kernel.rng.shuffle(seeds)
+        for seed in cycle(seeds):
+            if self._directory.plan is not None or self.kernel.draining:
+                return
+            self.spawn(
+                self._object_sync.sync_with(seed, SEED_CONNECT_TIMEOUT_S)
+            )
+            await sleep(SEED_PERIOD_S)
 
     def _set_joined(self) -> None:
         if not self._joined.is_set():
--- a/tests/gateway/test_store_watch.py
+++ b/tests/gateway/test_store_watch.py
@@ -1,8 +1,9 @@
 """Tests of the calls that watch the platform's store."""
 
-from asyncio import gather, sleep, start_server
+from asyncio import Event, gather, sleep, start_server
 
 import pytest
+from grpclib.client import Channel
 
 from bench.ports import free_port
 from carawaylane.gateway import links, store_watch
@@ -77,9 +78,29 @@
     return seeds
 
 
-async def test_nodes_get_their_first_copies_from_seeds(fleet):
-    """Each node listed all objects in the store, which prices every call."""
+def count_first_syncs(object_sync, first_syncs):
+    """Collect the requests of nodes that have no copies yet."""
+    handle_sync = object_sync.handle_sync
+
+    def record_and_handle(msg):
+        if not any(known.revision for known in msg.known):
+            first_syncs.append(msg.source)
+        return handle_sync(msg)
+
+    object_sync.handle_sync = record_and_handle
+
+
+async def test_nodes_get_their_first_copies_from_a_seed(fleet, monkeypatch):
+    """Each node listed all objects in the store, which prices every call.
+
+    A seed that replies is the only one that sends all objects.
+    """
+    monkeypatch.setattr(store_watch, 'SEED_PERIOD_S', READY_TIMEOUT_S)
+    monkeypatch.setattr(store_watch, 'SEED_WAIT_S', READY_TIMEOUT_S)
     seeds = await start_seeds(fleet, 3)
+    first_syncs = []
+    for seed in fleet.nodes[:]:
+        count_first_syncs(seed.find('news'), first_syncs)
     lists_before = fleet.store.calls['list']
     creates_before = fleet.store.calls['POST']
     nodes = await gather(
@@ -90,6 +111,7 @@
         await fleet.wait_until(lambda m=members: len(m) == 12)
     assert fleet.store.calls['list'] == lists_before
     assert fleet.store.calls['POST'] == creates_before + len(nodes)
+    assert len(first_syncs) == len(nodes)
 
 
 @pytest.mark.parametrize('node_count', [1, 4])
@@ -142,9 +164,7 @@
     fleet, monkeypatch
 ):
     """A call to it would end long after the test."""
-    monkeypatch.setattr(
-        store_watch, 'SEED_CALL_TIMEOUT_S', 10 * READY_TIMEOUT_S
-    )
+    monkeypatch.setattr(links, 'CALL_TIMEOUT_S', 10 * READY_TIMEOUT_S)
     seeds = await start_seeds(fleet, 1)
 
     async def accept(reader, writer):
@@ -168,21 +188,19 @@
     """Like one whose machine is up before it listens."""
     monkeypatch.setattr(links, 'CALL_TIMEOUT_S', 10 * READY_TIMEOUT_S)
     monkeypatch.setattr(store_watch, 'SEED_WAIT_S', READY_TIMEOUT_S)
+    connect = Channel.__connect__
     swallowed = []
 
-    async def swallow(reader, writer):
-        swallowed.append(writer)
-        await reader.read()
+    async def swallow_first(channel):
+        if len(swallowed) < 2:
+            swallowed.append(channel)
+            await Event().wait()
+        return await connect(channel)
 
-    server = await start_server(swallow, '127.0.0.1', 0)
-    port = server.sockets[0].getsockname()[1]
-    seed = f'127.0.0.1:{port}'
+    monkeypatch.setattr(Channel, '__connect__', swallow_first)
+    seed = f'127.0.0.1:{free_port()}'
     node = await fleet.start_node('n1', seeds=[seed], ready=False)
     await fleet.wait_until(lambda: len(swallowed) == 2)
-    server.close()
-    await server.wait_closed()
-    for writer in swallowed:
-        writer.close()
     fleet.store.put('config', 'main', plan_spec())
     await fleet.start_target('i-1')
     await fleet.start_node('seed', seeds=[seed], peer_listen=seed)
