At-most-once machine: targets that leave are a machine of their own

The machine that the flaws are searched with is again as it was, and the one with targets that leave has the same test of the protocol besides.

--- a/tests/decisions/test_at_most_once.py
+++ b/tests/decisions/test_at_most_once.py
@@ -150,14 +150,6 @@
         if chosen is not None:
             self.model.finish_job(*chosen, 'Refuse')
 
-    @rule(pause_ms=st.sampled_from([300, 20_000, inf]))
-    def target_leaves_or_pauses(self, pause_ms):
-        self.model.withheld_until_ms = self.model.now_ms + pause_ms
-
-    @rule()
-    def target_is_replaced(self):
-        self.model.withheld_until_ms = 0
-
     @rule(number=PICK)
     def pause_node(self, number):
         node = self.pick(self.nodes(), number)
@@ -322,6 +314,18 @@
         self.model.now_ms += ms
 
 
+class LeavingTargetMachine(FleetMachine):
+    """The same with a target that leaves, pauses and is replaced."""
+
+    @rule(pause_ms=st.sampled_from([300, 20_000, inf]))
+    def target_leaves_or_pauses(self, pause_ms):
+        self.model.withheld_until_ms = self.model.now_ms + pause_ms
+
+    @rule()
+    def target_is_replaced(self):
+        self.model.withheld_until_ms = 0
+
+
 def flawed_machine(flaw_name):
     """Return the machine for a model without one rule of the protocol."""
 
@@ -331,9 +335,10 @@
     return FlawedMachine
 
 
-def test_no_order_of_events_runs_a_key_twice():
+@pytest.mark.parametrize('machine', [FleetMachine, LeavingTargetMachine])
+def test_no_order_of_events_runs_a_key_twice(machine):
     run_state_machine_as_test(
-        FleetMachine,
+        machine,
         settings=settings(
             max_examples=150,
             stateful_step_count=60,
