A watcher that restarts watches at once, as its rank is known

Before, each node that came back listed the store and told the others. Now a node that its copy of the members lists knows its rank. The new test failed before.

--- a/carawaylane/gateway/store_watch.py
+++ b/carawaylane/gateway/store_watch.py
@@ -68,8 +68,9 @@
 # A node that gets no copies from peers within this time after it has joined
 # lists the objects itself, whatever its rank.
 COPY_WAIT_S = 0.3
-# A node that got fresh copies from a seed does not watch for this time: the
-# members that start with it are not listed yet, so its rank is not known.
+# A node that got fresh copies from a seed does not watch until it is listed
+# itself, or for this time: before, the members that start with it may not be
+# listed either, so its rank is not known.
 RANK_WAIT_S = 1.0
 # A node whose object the copy of the members lacks for this long registers
 # again. A copy usually lags by less.
@@ -288,11 +289,9 @@
         # The copy is not confirmed while the store holds a watch open.
         wait_s = WATCH_WAIT_S[kind]
         age_s = replica.age_s(self.kernel.now_s()) - wait_s
-        joined_for_s = self.kernel.now_s() - self._joined_at_s
-        rank_is_known = (
-            self._is_seed() or joined_for_s > RANK_WAIT_S or age_s > STALE_S
+        watches = should_watch(rank, age_s) and (
+            self._is_rank_known() or age_s > STALE_S
         )
-        watches = rank_is_known and should_watch(rank, age_s)
         if kind is ObjectKind.PLAN and watches != self._watches_plan:
             self._watches_plan = watches
             emit(
@@ -304,6 +303,16 @@
             )
         return watches
 
+    def _is_rank_known(self) -> bool:
+        members = self._directory.replicas[ObjectKind.MEMBERS].items
+        listed = members.get(self.kernel.cfg.name)
+        joined_for_s = self.kernel.now_s() - self._joined_at_s
+        return (
+            (listed is not None and listed.data is not None)
+            or self._is_seed()
+            or joined_for_s > RANK_WAIT_S
+        )
+
     async def _list_objects(self, kind: ObjectKind) -> None:
         result = await self._store.list_all(kind)
         self._log_store_state(result)
--- a/tests/gateway/test_store_watch.py
+++ b/tests/gateway/test_store_watch.py
@@ -3,9 +3,15 @@
 from asyncio import Event, gather, sleep, start_server
 
 import pytest
+from attrs import evolve
 from grpclib.client import Channel
 
 from bench.ports import free_port
+from carawaylane.decisions.dissemination import (
+    STALE_S,
+    WATCH_SEED,
+    rank_members,
+)
 from carawaylane.gateway import links, store_watch
 from carawaylane.gateway.store_watch import WATCH_PAUSE_S, WATCH_WAIT_S
 from carawaylane.messages.stored_objects import ObjectKind
@@ -205,3 +211,27 @@
     await fleet.start_target('i-1')
     await fleet.start_node('seed', seeds=[seed], peer_listen=seed)
     await fleet.wait_until(node.find('callers').ready)
+
+
+async def test_a_watcher_that_restarts_watches_at_once(fleet, monkeypatch):
+    """Its object is still listed, so that it knows its rank."""
+    monkeypatch.setattr(store_watch, 'RANK_WAIT_S', 10 * READY_TIMEOUT_S)
+    seeds = await start_seeds(fleet, 1)
+    seed = fleet.nodes[0].find('directory').members['seed0']
+    names = (f'n{number}' for number in range(1000))
+    name = next(
+        name
+        for name in names
+        if rank_members([seed, evolve(seed, name=name)], WATCH_SEED)[0] == name
+    )
+    spec = {'address': '127.0.0.1:1', 'zone': 'z1', 'cores': 1.0}
+    fleet.store.put('members', name, spec)
+    members = fleet.nodes[0].find('directory').members
+    await fleet.wait_until(lambda: name in members)
+    node = await fleet.start_node(name, seeds=seeds)
+    watch = node.find('store_watch')
+    await fleet.wait_until(lambda: watch._watches_plan)
+    # Any node watches once its copy is stale.
+    replica = node.find('directory').replicas[ObjectKind.PLAN]
+    stale_s = WATCH_WAIT_S[ObjectKind.PLAN] + STALE_S
+    assert replica.age_s(node.now_s()) < stale_s
