--- a/carawaylane/gateway/callers.py
+++ b/carawaylane/gateway/callers.py
@@ -49,8 +49,7 @@
 # The drain ends this long before the platform kills the process.
 EXIT_MARGIN_S = 0.6
 NO_PLAN_RETRY_AFTER_S = 0.3
-# A request that comes before this node knows routes and targets waits for
-# them. A node that starts usually gets them from a peer within this time.
+# How long a request waits for the first routes and targets of this node.
 FIRST_COPIES_WAIT_S = 1.0
 # An answer is sent this long before the caller's deadline, so that it arrives
 # in time.
