Take only failed calls for an outage of the store

Cause: removals count as lapses after an outage, and a copy of the targets that nobody had confirmed for 3.2 s passed for an outage. After a real outage, each removal of the next 3.2 s began a grace of 2.3 s of its own, up to 5.5 s after the store was back.

Ruled out: late news of the removal; the requests came 2.02 to 2.19 s after it, which is the grace.

Change: decisions/propagation/store_outages.py learns of each answer and failure of the store. An outage needs failed calls, the grace ends 2.3 s after the first answer, and a node checks by its own news what a peer says of a lapse.

--- a/carawaylane/gateway/copies.py
+++ b/carawaylane/gateway/copies.py
@@ -11,7 +11,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine, Iterable
 
-    from carawaylane.decisions.propagation.replica import ObjectReplica
     from carawaylane.gateway.directory import Directory
     from carawaylane.gateway.large_objects import LargeObjects
     from carawaylane.kernel.service import Service
@@ -60,7 +59,8 @@
             revision_before = replica.revision
             if 0 < msg.revision <= revision_before:
                 # Peers and seeds send the same lists; their objects are known.
-                self._confirm(replica, msg)
+                if msg.revision == revision_before:
+                    self._directory.mark_confirmed(kind, msg.age_ms / 1000)
                 continue
             changes = self.large_objects.unpack(msg)
             if changes.is_missing:
@@ -79,12 +79,6 @@
             advanced = advanced or replica.revision > revision_before
         return advanced, has_gap
 
-    def _confirm(self, replica: ObjectReplica, msg: Known) -> None:
-        """Record how recent the copy is by a message of the same revision."""
-        if msg.revision == replica.revision:
-            now_s = self._svc.kernel.now_s()
-            replica.mark_confirmed(now_s, msg.age_ms / 1000)
-
     async def _fetch(
         self,
         address: str,
--- a/carawaylane/gateway/directory.py
+++ b/carawaylane/gateway/directory.py
@@ -9,7 +9,7 @@
 from asyncio import Event, get_running_loop
 from typing import TYPE_CHECKING, Any
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from carawaylane.decisions.customers.keys import KeyRing
 from carawaylane.decisions.propagation.dissemination import (
@@ -19,6 +19,7 @@
     rank_members,
 )
 from carawaylane.decisions.propagation.replica import ObjectReplica
+from carawaylane.decisions.propagation.store_outages import StoreOutages
 from carawaylane.decisions.routing.route_table import RouteTable
 from carawaylane.gateway.plan_adoption import PlanAdoption, is_large
 from carawaylane.kernel.service import Actor, Service, service
@@ -56,11 +57,6 @@
     from carawaylane.decisions.propagation.segments import SegmentedText
     from carawaylane.kernel.kernel import Kernel
 
-# Registrations may expire while the store is down. By the platform's protocol,
-# targets that are alive have registered again about 2 s after an outage, so a
-# target whose registration lapsed is kept for this long.
-LAPSED_GRACE_S = 2.3
-
 
 @frozen(kw_only=True, eq=False, repr=False)
 class TargetsChanged:
@@ -81,6 +77,9 @@
     def __init__(self, *, kernel: Kernel) -> None:
         super().__init__(kernel=kernel)
         self.replicas = {kind: ObjectReplica() for kind in ObjectKind}
+        self.outages = StoreOutages(
+            name=kernel.cfg.name, answered_at_s=kernel.now_s()
+        )
         self.plan: Plan | None = None
         self.route_table = RouteTable(routes=())
         self.key_ring = KeyRing(customers=())
@@ -193,9 +192,9 @@
         changed_names = replica.apply(delta, now_s)
         if changed_names is None:
             return False
-        self._log_restore(kind, revision_before)
+        self._record_restore(kind, revision_before)
         if delta.revision >= replica.revision:
-            replica.mark_confirmed(now_s, age_s)
+            self.mark_confirmed(kind, age_s)
         if changed_names:
             items = [replica.items[name] for name in changed_names]
             if kind is ObjectKind.PLAN:
@@ -206,9 +205,16 @@
             self.first_copies.set()
         return True
 
-    def _log_restore(self, kind: ObjectKind, revision_before: int) -> None:
+    def mark_confirmed(self, kind: ObjectKind, age_s: float) -> None:
+        """Record that the store confirmed a copy `age_s` ago."""
+        now_s = self.kernel.now_s()
+        self.replicas[kind].mark_confirmed(now_s, age_s)
+        self.outages.record_answer(now_s - age_s)
+
+    def _record_restore(self, kind: ObjectKind, revision_before: int) -> None:
         revision = self.replicas[kind].revision
         if revision_before and era_of(revision) != era_of(revision_before):
+            self.outages.record_restore(era_of(revision), self.kernel.now_s())
             emit(
                 STORE_RESTORED,
                 kind=kind.name,
@@ -295,13 +301,9 @@
     ) -> None:
         changed_services: set[str] = set()
         for item in items:
-            current = self.targets.get(item.name)
-            if item.data is None and item.lapsed and current is not None:
-                get_running_loop().call_later(
-                    LAPSED_GRACE_S, self._remove_if_lapsed, item
-                )
-                continue
             target = None
+            if self._keep_lapsed(ObjectKind.TARGETS, item):
+                continue
             if item.data is not None:
                 target = decode_target(item.name, item.data)
             if isinstance(target, InvalidObject):
@@ -323,11 +325,23 @@
             spec.service for spec in (previous, target) if spec is not None
         }
 
-    def _remove_if_lapsed(self, item: StoredObject) -> None:
-        """Remove a target that has not registered again since it lapsed."""
-        current = self.replicas[ObjectKind.TARGETS].items.get(item.name)
-        if current is None or current.data is None:
-            self._publish_changes(self._replace_target(item.name, None))
+    def _keep_lapsed(self, kind: ObjectKind, item: StoredObject) -> bool:
+        """Return whether a removed object is kept for a while."""
+        grace_s = self.outages.grace_left_s(self.kernel.now_s())
+        if item.data is not None or not item.lapsed or not grace_s:
+            return False
+        get_running_loop().call_later(
+            grace_s, self._end_lapse, kind, item.name
+        )
+        return True
+
+    def _end_lapse(self, kind: ObjectKind, name: str) -> None:
+        """Remove an object that has not been written again."""
+        item = self.replicas[kind].items.get(name)
+        if item is not None and item.data is None:
+            gone = evolve(item, lapsed=False)
+            self.replicas[kind].items[name] = gone
+            _UPDATE_METHODS[kind](self, [gone], 'store')
 
     def _publish_changes(self, changed_services: set[str]) -> None:
         if not changed_services:
@@ -351,10 +365,7 @@
         self._ranked_names.clear()
         for item in items:
             member = None
-            if item.data is None and item.lapsed:
-                get_running_loop().call_later(
-                    LAPSED_GRACE_S, self._remove_member_if_lapsed, item.name
-                )
+            if self._keep_lapsed(ObjectKind.MEMBERS, item):
                 continue
             if item.data is not None:
                 member = decode_member(item.name, item.data)
@@ -366,14 +377,6 @@
                 self._log_invalid(member)
         self._log_members()
 
-    def _remove_member_if_lapsed(self, name: str) -> None:
-        """Remove a member that has not registered again since it lapsed."""
-        current = self.replicas[ObjectKind.MEMBERS].items.get(name)
-        if current is None or current.data is None:
-            self.members.pop(name, None)
-            self._ranked_names.clear()
-            self._log_members()
-
     def _log_members(self) -> None:
         emit(
             MEMBERS_MOVED,
--- a/carawaylane/gateway/object_sync.py
+++ b/carawaylane/gateway/object_sync.py
@@ -116,9 +116,7 @@
 
         `store_answers` says whether this node gets answers from the store.
         """
-        self.watch_duty.record_heartbeat(
-            self.kernel.cfg.name, store_answers, self.kernel.now_s()
-        )
+        self._record_heartbeat(self.kernel.cfg.name, store_answers)
         self._broadcast_in_data_centre(
             SyncRequest(
                 known=self._copies.copy_states(), unanswered=not store_answers
@@ -196,12 +194,16 @@
             self.spawn(self.sync_with(msg.source))
         if msg.root:
             if not _has_changes(msg):
-                self.watch_duty.record_heartbeat(
-                    msg.root, not msg.unanswered, self.kernel.now_s()
-                )
+                self._record_heartbeat(msg.root, not msg.unanswered)
             self._forward_broadcast(msg, advanced)
         return SyncReply(known=[*self._copies.deltas_for_peer(msg)])
 
+    def _record_heartbeat(self, watcher: str, store_answers: bool) -> None:
+        now_s = self.kernel.now_s()
+        self.watch_duty.record_heartbeat(watcher, store_answers, now_s)
+        if not store_answers:
+            self._directory.outages.record_failure(watcher, now_s)
+
     def _forward_broadcast(self, msg: SyncRequest, advanced: bool) -> None:
         """Forward a broadcast to the nodes that are left to this one.
 
--- a/carawaylane/gateway/store_watch.py
+++ b/carawaylane/gateway/store_watch.py
@@ -25,6 +25,7 @@
 from carawaylane.telemetry.events import (
     HISTORY_EXPIRED,
     JOINED,
+    OUTAGE_ENDED,
     PLATFORM_DOWN,
     PLATFORM_UP,
     WATCH_DUTY,
@@ -75,10 +76,6 @@
 # itself, or for this time: before, the members that start with it may not be
 # listed either, so its rank is not known.
 RANK_WAIT_S = 1.0
-# If no node has had an answer from the store for this long, the store was down
-# and registrations may have expired. Removals that arrive within this time
-# after such an outage are marked as lapsed.
-OUTAGE_S = 3.2
 
 
 @service('store_watch')
@@ -106,7 +103,6 @@
         # Set, and replaced, when the kinds that this node watches change.
         self._duty_changed = Event()
         self._rank = 0
-        self._mark_lapsed_until_s = 0.0
         # Set once the watch loops may call the store.
         self._joined = Event()
         self._joined_at_s = 0.0
@@ -256,7 +252,7 @@
 
     async def _list_objects(self, kind: ObjectKind) -> None:
         result = await self.store.list_all(kind)
-        self.log_store_state(result)
+        self._record_contact(result)
         if isinstance(result, Unavailable):
             await self.delay_retry()
             return
@@ -271,7 +267,7 @@
             revision=revision,
             wait_s=0.0 if has_failed else WATCH_WAIT_S[kind],
         )
-        self.log_store_state(result)
+        self._record_contact(result)
         self._record_answer(kind, result)
         match result:
             case ObjectDelta():
@@ -288,6 +284,17 @@
             case Unavailable() if has_failed:
                 await self.delay_retry(self._watch_retry_delay_s())
 
+    def _record_contact(self, result: object) -> None:
+        """Record whether the store has answered this node."""
+        self.log_store_state(result)
+        now_s = self.kernel.now_s()
+        outages = self._directory.outages
+        silent_s = now_s - outages.answered_at_s
+        if isinstance(result, Unavailable):
+            outages.record_failure(self.kernel.cfg.name, now_s)
+        elif outages.record_answer(now_s):
+            emit(OUTAGE_ENDED, silent_s=round(silent_s, 2))
+
     def _record_answer(self, kind: ObjectKind, result: object) -> None:
         if isinstance(result, Unavailable):
             self._unanswered.add(kind)
@@ -342,11 +349,7 @@
 
         The targets may be alive and register again soon.
         """
-        now_s = self.kernel.now_s()
-        replica = self._directory.replicas[ObjectKind.TARGETS]
-        if replica.revision and replica.age_s(now_s) > OUTAGE_S:
-            self._mark_lapsed_until_s = now_s + OUTAGE_S
-        if now_s >= self._mark_lapsed_until_s:
+        if not self._directory.outages.may_be_lapses(self.kernel.now_s()):
             return delta
         items = tuple(
             evolve(item, lapsed=item.data is None) for item in delta.items
--- a/carawaylane/telemetry/events.py
+++ b/carawaylane/telemetry/events.py
@@ -153,6 +153,12 @@
     _WARN,
     'An object of the store is invalid and is ignored.',
 )
+OUTAGE_ENDED = _declare_event(
+    220,
+    'outage-ended',
+    _WARN,
+    'The store was down; what it removed may have expired meanwhile.',
+)
 WATCH_DUTY = _declare_event(
     213, 'watch-duty', _INFO, 'The node starts or stops watching the store.'
 )
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -6,7 +6,7 @@
 from attrs import evolve
 
 from carawaylane.decisions.propagation.dissemination import rank_members
-from carawaylane.gateway.directory import LAPSED_GRACE_S
+from carawaylane.decisions.propagation.store_outages import LAPSE_GRACE_S
 from carawaylane.gateway.dispatch import _Avoidance
 from carawaylane.kernel import kernel
 from carawaylane.messages.stored_objects import ObjectKind
@@ -146,7 +146,7 @@
     assert set(directory.targets) == {'i-1', 'i-2'}
     assert (await fetch(node, '/read/x')).status == 200
     fleet.store.put('servers', 'i-1', spec)
-    await sleep(LAPSED_GRACE_S + 0.5)
+    await sleep(LAPSE_GRACE_S + 0.5)
     assert set(directory.targets) == {'i-1'}
 
 
@@ -412,7 +412,7 @@
     for node in nodes:
         # Homes stay as they are meanwhile.
         assert len(node.find('directory').members) == 3
-    await sleep(LAPSED_GRACE_S + 0.5)
+    await sleep(LAPSE_GRACE_S + 0.5)
     for node in nodes:
         assert len(node.find('directory').members) == 3
 
