--- a/tests/gateway/test_relays.py
+++ b/tests/gateway/test_relays.py
@@ -13,6 +13,7 @@
 from carawaylane.gateway.relays import NotRelayed
 from carawaylane.rpc.fleet_grpc import FleetBase
 from carawaylane.rpc.fleet_pb2 import (
+    CrashReport,
     LocateReply,
     PreviewReply,
     ReachReply,
@@ -49,6 +50,9 @@
     async def Reach(self, stream):  # noqa: N802
         await self._reply_later(stream, ReachReply(addresses=['t1:1']))
 
+    async def Crashes(self, stream):  # noqa: N802
+        await self._reply_later(stream, CrashReport())
+
     async def Locate(self, stream):  # noqa: N802
         await self._reply_later(stream, LocateReply())
 
