--- a/carawaylane/telemetry/events.py
+++ b/carawaylane/telemetry/events.py
@@ -5,41 +5,19 @@
 from logging import ERROR as _ERROR
 from logging import INFO as _INFO
 from logging import WARNING as _WARN
-from logging import Formatter, LogRecord, getLogger
+from logging import getLogger
 from typing import TYPE_CHECKING, Any
 
-from attrs import frozen
-
-from carawaylane.telemetry.log_writer import encode_row
+from carawaylane.telemetry.event_types import declare_event as _declare_event
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from carawaylane.telemetry.event_types import Event
+
 _LOGGER = getLogger('carawaylane')
 _write_event: Callable[[int, str, int, dict[str, Any]], None] | None = None
 
-
-@frozen(kw_only=True, eq=False, repr=False)
-class Event:
-    """A type of log event; its number and name never change."""
-
-    number: int
-    name: str
-    level: int
-    meaning: str
-
-
-EVENTS: dict[int, Event] = {}
-
-
-def _declare_event(number: int, name: str, level: int, meaning: str) -> Event:
-    if number in EVENTS:
-        raise ValueError(f'event {number} is declared twice')
-    event = Event(number=number, name=name, level=level, meaning=meaning)
-    EVENTS[number] = event
-    return event
-
-
 NODE_STARTED = _declare_event(100, 'node-started', _INFO, 'The node is ready.')
 NODE_DRAINING = _declare_event(
     101,
@@ -345,28 +323,6 @@
 )
 
 
-class JsonFormatter(Formatter):
-    """Formatter of log records as one JSON object per line."""
-
-    def format(self, record: LogRecord) -> str:
-        """Return the line of a record without its line break."""
-        row = {
-            'time': round(record.created, 4),
-            'level': record.levelname,
-            'event': getattr(record, 'event', 0),
-            'name': getattr(record, 'event_name', ''),
-            **getattr(record, 'fields', {}),
-        }
-        if not row['event']:
-            row['message'] = record.getMessage()
-        if record.exc_info:
-            row['exception'] = self.formatException(record.exc_info)
-        for name in ('left_out', 'dropped'):
-            if getattr(record, name, 0):
-                row[name] = getattr(record, name)
-        return encode_row(row)
-
-
 class _LazyFields:
     """Fields of an event, formatted only if the line is written as text."""
 
--- a/carawaylane/telemetry/log_setup.py
+++ b/carawaylane/telemetry/log_setup.py
@@ -4,7 +4,8 @@
 
 from logging import INFO, getLogger
 
-from carawaylane.telemetry.events import JsonFormatter, write_events_with
+from carawaylane.telemetry.events import write_events_with
+from carawaylane.telemetry.json_formatter import JsonFormatter
 from carawaylane.telemetry.log_writer import StdoutHandler
 
 
--- a/tests/gateway/test_keys.py
+++ b/tests/gateway/test_keys.py
@@ -5,11 +5,8 @@
 
 from aiohttp import ClientSession
 
-from carawaylane.telemetry.events import (
-    CONFIG_IN_FORCE,
-    ENTRY_UNREADABLE,
-    JsonFormatter,
-)
+from carawaylane.telemetry.events import CONFIG_IN_FORCE, ENTRY_UNREADABLE
+from carawaylane.telemetry.json_formatter import JsonFormatter
 from standins.raw_target import Reply
 from tests.gateway.conftest import (
     connect,
--- a/tests/telemetry/test_events.py
+++ b/tests/telemetry/test_events.py
@@ -6,7 +6,9 @@
 from pathlib import Path
 from sys import exc_info
 
-from carawaylane.telemetry.events import EVENTS, JsonFormatter
+from carawaylane.telemetry.event_types import EVENTS
+from carawaylane.telemetry.events import NODE_STARTED
+from carawaylane.telemetry.json_formatter import JsonFormatter
 
 EVENTS_PAGE = Path(__file__).parents[2] / 'docs' / 'user' / 'events.md'
 
@@ -23,7 +25,7 @@
 
 def test_a_json_line_has_the_event_number_and_the_fields():
     record = LogRecord('absl', INFO, '', 0, 'text', (), None)
-    record.event = 100
+    record.event = NODE_STARTED.number
     record.event_name = 'node-started'
     record.fields = {'member': 'm'}
     row = loads(JsonFormatter().format(record))
--- a/tests/telemetry/test_log_writer.py
+++ b/tests/telemetry/test_log_writer.py
@@ -7,7 +7,7 @@
 from socket import AF_UNIX, SOCK_DGRAM, socketpair
 from time import monotonic, sleep
 
-from carawaylane.telemetry.events import JsonFormatter
+from carawaylane.telemetry.json_formatter import JsonFormatter
 from carawaylane.telemetry.log_writer import (
     BATCH_S,
     BURST_LINES,
