--- a/carawaylane/gateway/status.py
+++ b/carawaylane/gateway/status.py
@@ -109,7 +109,7 @@
             era_of(max(r.revision for r in self._directory.replicas.values())),
         )
         gauge('members', len(self._directory.members))
-        gauge('connections_opened', self._exchanges.connections_opened)
+        gauge('connections_opened', self._exchanges.pool.opened)
         gauge('log_dropped', dropped_lines())
         for kind, replica in self._directory.replicas.items():
             age_s = min(replica.age_s(now_s), MAX_AGE_S)
--- /dev/null
+++ b/carawaylane/gateway/target_connections.py
@@ -0,0 +1,133 @@
+"""Connections to targets, and the pool of those that are idle."""
+
+from __future__ import annotations
+
+from asyncio import get_running_loop
+from collections import defaultdict
+from re import compile as re_compile
+from socket import IPPROTO_TCP, TCP_USER_TIMEOUT
+from typing import TYPE_CHECKING, Any
+
+from attrs import Factory, define
+
+from carawaylane.services.response_handler import BoundedResponseHandler
+
+if TYPE_CHECKING:
+    from asyncio import AbstractEventLoop
+
+    from carawaylane.messages.exchange import OutgoingRequest
+
+# An idle connection is reused for at most this long, and for at most this
+# share of the timeout that the target states in its Keep-Alive header: later,
+# the target may close the connection as the request is sent.
+MAX_IDLE_S = 8.0
+IDLE_TIMEOUT_SHARE = 0.7
+# A request that is not idempotent can't be sent again if it is lost on a stale
+# connection, so it needs a connection that was used more recently.
+MAX_IDLE_NON_IDEMPOTENT_S = 5.0
+MAX_IDLE_PER_ADDRESS = 8
+# The operating system closes a connection if sent data stays unacknowledged
+# for this long, which means that the network path is dead.
+UNACKNOWLEDGED_TIMEOUT_MS = 5000
+_KEEP_ALIVE_TIMEOUT_PATTERN = re_compile(r'timeout=(\d+)')
+
+
+class ResponseHandler(BoundedResponseHandler):
+    """Protocol that fails the body of an answer if the connection is reset.
+
+    An answer without a length ends when the connection closes; aiohttp would
+    take one that was cut off by a reset as complete.
+    """
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(exc)
+        super().connection_lost(exc)
+
+
+@define(kw_only=True, eq=False, repr=False)
+class Connection:
+    """A connection to a target.
+
+    `number` identifies it in the logs of the node.
+    """
+
+    number: int
+    protocol: ResponseHandler
+    transport: Any
+    # When the last exchange on the connection ended.
+    idle_since_s: float = 0.0
+    max_idle_s: float = MAX_IDLE_S
+    # The ids of the requests that were sent on the connection.
+    sent_ids: set[str] = Factory(set)
+
+    def is_reusable(self, now_s: float, idempotent: bool) -> bool:
+        """Return whether another request may be sent on the connection."""
+        if self.protocol.should_close or not self.protocol.is_connected():
+            return False
+        limit_s = (
+            self.max_idle_s
+            if idempotent
+            else min(self.max_idle_s, MAX_IDLE_NON_IDEMPOTENT_S)
+        )
+        return now_s - self.idle_since_s < limit_s
+
+    def limit_idle_time(self, keep_alive: str) -> None:
+        """Apply the timeout in the Keep-Alive header of an answer, if any."""
+        match = _KEEP_ALIVE_TIMEOUT_PATTERN.search(keep_alive)
+        if match is not None:
+            self.max_idle_s = min(
+                MAX_IDLE_S, IDLE_TIMEOUT_SHARE * int(match.group(1))
+            )
+
+
+class ConnectionPool:
+    """Opens connections to targets and keeps the idle ones."""
+
+    def __init__(self) -> None:
+        self._idle: dict[str, list[Connection]] = defaultdict(list)
+        self.opened = 0
+
+    async def open(self, address: str) -> Connection:
+        """Return a new connection to an address, or raise OSError."""
+        loop: AbstractEventLoop = get_running_loop()
+        host, _, port = address.rpartition(':')
+        self.opened += 1
+        number = self.opened
+        transport, protocol = await loop.create_connection(
+            lambda: ResponseHandler(loop), host, int(port)
+        )
+        sock = transport.get_extra_info('socket')
+        sock.setsockopt(
+            IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
+        )
+        return Connection(
+            number=number, protocol=protocol, transport=transport
+        )
+
+    def take(
+        self, address: str, request: OutgoingRequest, now_s: float
+    ) -> Connection | None:
+        """Return the last used idle connection, and close those too old."""
+        conns = self._idle[address]
+        while conns:
+            conn = conns.pop()
+            if conn.is_reusable(now_s, request.idempotent):
+                return conn
+            conn.transport.abort()
+        return None
+
+    def put(self, address: str, conn: Connection, now_s: float) -> None:
+        """Keep a connection whose exchange has ended."""
+        conn.idle_since_s = now_s
+        conns = self._idle[address]
+        conns.append(conn)
+        if len(conns) > MAX_IDLE_PER_ADDRESS:
+            conns.pop(0).transport.abort()
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        for conns in self._idle.values():
+            while conns:
+                conns.pop().transport.abort()
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -159,7 +159,7 @@
     async def refuse(_address):
         raise ConnectionRefusedError
 
-    cut_off.find('exchanges')._open_connection = refuse
+    cut_off.find('exchanges').pool.open = refuse
     assert (await fetch(cut_off, '/write/a', method='POST')).status == 200
     await send_in_turn([cut_off], 6)
     assert count_reached(targets) == VICTIMS
--- a/tests/gateway/test_cut_off_nodes.py
+++ b/tests/gateway/test_cut_off_nodes.py
@@ -42,7 +42,7 @@
     Connections hang, are reset, or live on while new ones are refused.
     """
     exchanges = node.find('exchanges')
-    pools = exchanges._idle_connections.values()
+    pools = exchanges.pool._idle.values()
     idle = [conn for conns in pools for conn in conns]
 
     async def open_connection(_address):
@@ -50,7 +50,7 @@
             await sleep(60)
         raise CONNECT_ERRORS[how]
 
-    exchanges._open_connection = open_connection
+    exchanges.pool.open = open_connection
     for conn in idle:
         if how == 'hang':
             conn.transport = BlackHole(conn.transport)
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -69,7 +69,7 @@
 
 def refuse_connection(exchanges, number):
     """Let the nth connection that a node opens for a request be refused."""
-    open_connection = exchanges._open_connection
+    open_connection = exchanges.pool.open
     opened = 0
 
     async def refuse_one(address):
@@ -82,5 +82,5 @@
     async def reaches(_address):
         return True
 
-    exchanges._open_connection = refuse_one
+    exchanges.pool.open = refuse_one
     exchanges.reaches = reaches
--- a/tests/gateway/test_target_paths.py
+++ b/tests/gateway/test_target_paths.py
@@ -176,12 +176,12 @@
 async def test_a_cut_off_node_reaches_targets_again_by_itself(fleet):
     nodes, _ = await start_service(fleet)
     exchanges = nodes[0].find('exchanges')
-    open_connection = exchanges._open_connection
+    open_connection = exchanges.pool.open
     cut_off(nodes[0], 'refuse')
     assert (await fetch(nodes[0], '/read/x')).status == 200
     paths = nodes[0].find('target_paths').paths
     assert paths.cut_off
-    exchanges._open_connection = open_connection
+    exchanges.pool.open = open_connection
     await fleet.wait_until(lambda: not paths.cut_off)
     relayed = nodes[0].find('telemetry').metrics.total('relayed_requests')
     assert (await fetch(nodes[0], '/read/x')).status == 200
