Log answers whose id does not tell which request they belong to

The hypotheses of the copied refusals could not be told apart: a refusal was logged as SHED, without its connection or what it says. Now a line names the connection, how many requests it carried before, whether the request is one of these, the ids and the status of the answer; target_refusals_total counts refusals by whether the connection had carried the request before, and doubtful_answers_total such answers. No decision changes.

--- a/carawaylane/gateway/exchanges.py
+++ b/carawaylane/gateway/exchanges.py
@@ -25,6 +25,7 @@
 from carawaylane.gateway.target_messages import check_answer, request_head
 from carawaylane.kernel.service import Service, service
 from carawaylane.kernel.timeouts import ReplyTimeout
+from carawaylane.platform.headers import answered_ids, is_refusal
 from carawaylane.services.targets import (
     LIVENESS_OPEN_S,
     BrokenExchange,
@@ -32,6 +33,7 @@
     NeverSent,
     RefusedByTarget,
 )
+from carawaylane.telemetry.events import ANSWER_DOUBTFUL, emit
 
 if TYPE_CHECKING:
     from carawaylane.decisions.admission.memory_budget import Holding
@@ -70,6 +72,7 @@
     async def start(self) -> None:
         """Look up the other services."""
         self._backpressure = self.kernel.find('backpressure')
+        self._metrics = self.kernel.find('telemetry').metrics
 
     async def stop(self) -> None:
         """Close the idle connections."""
@@ -190,6 +193,8 @@
             max_line_size=MAX_HEADER_LINE_BYTES,
             max_field_size=MAX_HEADER_LINE_BYTES,
         )
+        repeated = request.request_id in conn.sent_ids
+        conn.sent_ids.add(request.request_id)
         conn.transport.write(
             request_head(request, target, time_left_s) + request.body
         )
@@ -197,6 +202,7 @@
             message, payload = await conn.protocol.read()
             while 100 <= message.code < 200:
                 message, payload = await conn.protocol.read()
+            self._log_doubtful(conn, target, request, message, repeated)
             body = await self._read_body(
                 conn.protocol,
                 payload,
@@ -218,6 +224,34 @@
         conn.protocol.force_close()
         return result
 
+    def _log_doubtful(
+        self,
+        conn: Connection,
+        target: str,
+        request: OutgoingRequest,
+        message: Any,
+        repeated: bool,
+    ) -> None:
+        """Log an answer whose id does not tell which request it answers."""
+        answer_ids = answered_ids(message.headers)
+        refused = is_refusal(message.code, message.headers)
+        if refused:
+            self._metrics.count('target_refusals', repeated=str(repeated))
+        if answer_ids == [request.request_id] and not repeated:
+            return
+        self._metrics.count('doubtful_answers', refused=str(refused))
+        emit(
+            ANSWER_DOUBTFUL,
+            request=request.request_id,
+            target=target,
+            connection=conn.number,
+            requests_before=len(conn.sent_ids) - 1,
+            repeated=repeated,
+            answer_ids=answer_ids,
+            status=message.code,
+            refused=refused,
+        )
+
     def _buffer_limit(
         self, message: Any, request: OutgoingRequest
     ) -> int | None:
--- a/carawaylane/platform/headers.py
+++ b/carawaylane/platform/headers.py
@@ -82,13 +82,23 @@
     )
 
 
+def answered_ids(headers: MultiMapping[str]) -> list[str]:
+    """Return the ids of requests that a target's answer bears."""
+    return headers.getall(REQUEST_ID_HEADER, [])
+
+
+def is_refusal(status: int, headers: MultiMapping[str]) -> bool:
+    """Return whether a target says that it did not run a request."""
+    return NOT_RUN_HEADER in headers or status == MISDIRECTED_STATUS
+
+
 def read_response_headers(
     status: int, headers: MultiMapping[str]
 ) -> ResponseHeaders:
     """Parse the status and headers of a target's answer."""
     return ResponseHeaders(
         request_id=headers.get(REQUEST_ID_HEADER, ''),
-        not_run=NOT_RUN_HEADER in headers or status == MISDIRECTED_STATUS,
+        not_run=is_refusal(status, headers),
         misdirected=status == MISDIRECTED_STATUS,
         backpressure=_read_backpressure(status, headers),
     )
--- a/carawaylane/telemetry/events.py
+++ b/carawaylane/telemetry/events.py
@@ -276,6 +276,12 @@
     _WARN,
     'A request was not sent, as its target asked for no requests.',
 )
+ANSWER_DOUBTFUL = _declare_event(
+    616,
+    'answer-doubtful',
+    _WARN,
+    'The id of an answer does not tell which request it belongs to.',
+)
 QUOTA_EXCEEDED = _declare_event(
     620,
     'quota-exceeded',
