Show that the copy of a refusal refuses a request that runs (known red)

Callers are told that it did not run, or it runs at a second target. Also within one attempt: a target that has taken over an address gets the request on the connection on which the address refused it (421). Safe and unsafe, sent by the node or by a peer.

--- a/standins/raw_target.py
+++ b/standins/raw_target.py
@@ -16,6 +16,8 @@
 # An endless answer is written in blocks, and cut off after the cap.
 ENDLESS_BLOCK_BYTES = 65536
 ENDLESS_CAP_BYTES = 256 << 20
+# Time between an answer and the bytes after it.
+AFTER_DELAY_S = 0.05
 # Placeholder in an answer for the id of the request.
 REQUEST_ID_PLACEHOLDER = b'@ID@'
 OK = (
@@ -34,6 +36,8 @@
 class Reply:
     """An answer of a raw target, and when and how it is sent.
 
+    `before` is sent as soon as the request has arrived, `after` some time
+    after the answer, before the next request if there is one.
     With `hang`, the target sends nothing until the client closes the
     connection. `endless` is sent after the answer again and again, until the
     client closes the connection or ENDLESS_CAP_BYTES are sent.
@@ -41,6 +45,8 @@
 
     data: bytes = OK
     delay_s: float = 0.0
+    before: bytes = b''
+    after: bytes = b''
     # What happens after the answer: '' (nothing), 'close' or 'reset'.
     connection_end: str = ''
     hang: bool = False
@@ -122,12 +128,22 @@
             await reader.read()
             self.aborted_requests += 1
             return False
+        request_id = _request_id(data)
+        if reply.before:
+            writer.write(
+                reply.before.replace(REQUEST_ID_PLACEHOLDER, request_id)
+            )
         await sleep(reply.delay_s)
-        answer = reply.data.replace(REQUEST_ID_PLACEHOLDER, _request_id(data))
+        answer = reply.data.replace(REQUEST_ID_PLACEHOLDER, request_id)
         if self.rate_limit_per_s is not None:
             header = f'\r\nServer-Limit: {self.rate_limit_per_s}\r\n'
             answer = answer.replace(b'\r\n', header.encode(), 1)
         writer.write(answer)
+        if reply.after:
+            await sleep(AFTER_DELAY_S)
+            writer.write(
+                reply.after.replace(REQUEST_ID_PLACEHOLDER, request_id)
+            )
         if reply.endless:
             await self._send_endless(reply.endless, writer)
             return False
--- /dev/null
+++ b/tests/gateway/test_copied_refusals.py
@@ -0,0 +1,136 @@
+"""Tests of targets that repeat an earlier refusal.
+
+The copy bears the id of the refused request. A caller is told that a request
+did not run only if no target runs it, and an unsafe one runs once at most.
+"""
+
+from asyncio import sleep
+
+import pytest
+
+from standins.raw_target import Reply
+from tests.gateway.conftest import fetch, plan_spec
+from tests.gateway.test_cut_off_nodes import cut_off
+
+RUN_S = 0.2
+RETRY_S = 0.02
+REQUEST_ID = 'r1'
+REFUSAL = (
+    b'HTTP/1.1 503 Service Unavailable\r\nRequest-Id: @ID@\r\n'
+    b'Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+)
+MISDIRECTED = (
+    b'HTTP/1.1 421 Misdirected Request\r\nRequest-Id: @ID@\r\n'
+    b'Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+)
+# What a target does with a request that it has refused once.
+COPIES = {
+    'at once': [Reply(data=REFUSAL + REFUSAL), Reply(delay_s=RUN_S)],
+    'while idle': [
+        Reply(data=REFUSAL, after=REFUSAL),
+        Reply(delay_s=RUN_S),
+    ],
+    'before it runs': [
+        Reply(data=REFUSAL),
+        Reply(before=REFUSAL, delay_s=RUN_S),
+    ],
+    'twice before it runs': [
+        Reply(data=REFUSAL),
+        Reply(before=REFUSAL + REFUSAL, delay_s=RUN_S),
+    ],
+}
+REQUESTS = {'safe': ('GET', '/read/x'), 'unsafe': ('POST', '/write/x')}
+
+
+class RefusingTarget:
+    """Target that refuses its first request, and copies the refusal later.
+
+    A copy comes on the connection of the refusal only.
+    """
+
+    def __init__(self, replies):
+        self._replies = replies
+        self.target = None
+        self.runs = 0
+
+    async def start(self, fleet, name):
+        self.target = await fleet.start_target(name, self._reply)
+        return self
+
+    def _reply(self, number, _data):
+        reply = self._replies[min(number, len(self._replies)) - 1]
+        self.runs += reply.data not in (REFUSAL, REFUSAL + REFUSAL)
+        if number > 1 and self.target.connections > 1:
+            return Reply(data=reply.data, delay_s=reply.delay_s)
+        return reply
+
+
+async def come_back(node, method, path, until):
+    """Send a request again and again under its id; return the statuses."""
+    statuses = []
+    while not until():
+        response = await fetch(
+            node, path, method=method, request_id=REQUEST_ID
+        )
+        statuses.append(response.status)
+        await sleep(RETRY_S)
+    return statuses
+
+
+@pytest.mark.parametrize('relayed', [False, True], ids=['direct', 'by a peer'])
+@pytest.mark.parametrize('kind', REQUESTS)
+@pytest.mark.parametrize('moment', COPIES)
+async def test_a_copied_refusal_does_not_refuse_the_request_when_it_is_back(
+    fleet, moment, kind, relayed
+):
+    fleet.store.put('config', 'main', plan_spec())
+    target = await RefusingTarget(COPIES[moment]).start(fleet, 'i-1')
+    node = await fleet.start_node('n1')
+    if relayed:
+        peer = await fleet.start_node('n2')
+        members = node.find('directory').members
+        await fleet.wait_until(lambda: len(members) == 2)
+        await fleet.wait_until(peer.find('callers').ready)
+        cut_off(node, 'refuse')
+    statuses = await come_back(node, *REQUESTS[kind], lambda: target.runs)
+    assert target.runs == 1
+    assert statuses[-1] == 200
+    assert set(statuses[:-1]) == {503}
+
+
+@pytest.mark.parametrize('kind', REQUESTS)
+async def test_a_copied_refusal_does_not_send_a_running_request_elsewhere(
+    fleet, kind
+):
+    fleet.store.put('config', 'main', plan_spec())
+    targets = [
+        await RefusingTarget(COPIES['before it runs']).start(fleet, name)
+        for name in ('i-1', 'i-2')
+    ]
+    node = await fleet.start_node('n1')
+    statuses = await come_back(
+        node, *REQUESTS[kind], lambda: any(t.runs for t in targets)
+    )
+    assert statuses[-1] == 200
+    assert sum(target.runs for target in targets) == 1
+
+
+async def test_a_copied_misdirection_does_not_stop_the_next_target_there(
+    fleet,
+):
+    replies = [
+        Reply(data=MISDIRECTED),
+        Reply(before=MISDIRECTED, delay_s=RUN_S),
+    ]
+    fleet.store.put('config', 'main', plan_spec())
+    target = await fleet.start_target(
+        'i-1', lambda n, _: replies[min(n, 2) - 1]
+    )
+    address = fleet.store.objects['servers']['i-1']['spec']['address']
+    fleet.register_target('i-2', int(address.rpartition(':')[2]))
+    node = await fleet.start_node('n1')
+    directory = node.find('directory')
+    await fleet.wait_until(lambda: len(directory.targets) == 2)
+    response = await fetch(node, '/write/x', method='POST')
+    assert response.status == 200
+    assert len(target.requests) == 2
