Read past an answer to another request

Callers of a request got 502 or 504 if a late answer to an earlier request stood where its own was due, although its target answered: the connection was closed on the foreign answer. Now the answer with another id is dropped and the request's own one is read behind it; since a connection carries an id once, that one can't be a copy. At most 16 answers and 128 KB are dropped, as a target may send them without end; one without a length, or beyond the bounds, breaks the exchange as before.

Four new cases in tests/gateway/test_exchanges.py (answer, refusal; safe, unsafe) fail before and pass after; framing, splits and bounds are tested in tests/services/test_response_handler.py.

--- a/carawaylane/gateway/exchanges.py
+++ b/carawaylane/gateway/exchanges.py
@@ -193,6 +193,9 @@
             max_line_size=MAX_HEADER_LINE_BYTES,
             max_field_size=MAX_HEADER_LINE_BYTES,
         )
+        conn.protocol.skip_answers(
+            partial(self._is_foreign, conn, target, request)
+        )
         conn.add_request(request.request_id)
         conn.transport.write(
             request_head(request, target, time_left_s) + request.body
@@ -201,7 +204,6 @@
             message, payload = await conn.protocol.read()
             while 100 <= message.code < 200:
                 message, payload = await conn.protocol.read()
-            self._log_doubtful(conn, target, request, message)
             body = await self._read_body(
                 conn.protocol,
                 payload,
@@ -209,7 +211,10 @@
                 self._buffer_limit(message, request),
             )
         except ANSWER_ERRORS as exc:
-            return BrokenExchange(reason=type(exc).__name__)
+            return BrokenExchange(
+                reason=type(exc).__name__,
+                mismatched=conn.protocol.skipped_answers > 0,
+            )
         if body is None:
             return BrokenExchange(reason='the answer is too large')
         if message.should_close:
@@ -223,18 +228,18 @@
         conn.protocol.force_close()
         return result
 
-    def _log_doubtful(
+    def _is_foreign(
         self,
         conn: Connection,
         target: str,
         request: OutgoingRequest,
         message: Any,
-    ) -> None:
-        """Log an answer whose id does not tell which request it answers."""
+    ) -> bool:
+        """Return whether an answer belongs to another request only."""
         answer_ids = answered_ids(message.headers)
-        refused = is_refusal(message.code, message.headers)
         if answer_ids == [request.request_id]:
-            return
+            return False
+        refused = is_refusal(message.code, message.headers)
         self._metrics.count('doubtful_answers', refused=str(refused))
         emit(
             ANSWER_DOUBTFUL,
@@ -246,6 +251,7 @@
             status=message.code,
             refused=refused,
         )
+        return bool(answer_ids) and request.request_id not in answer_ids
 
     def _buffer_limit(
         self, message: Any, request: OutgoingRequest
--- a/carawaylane/services/response_handler.py
+++ b/carawaylane/services/response_handler.py
@@ -6,16 +6,22 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from aiohttp import ClientPayloadError
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.helpers import EMPTY_BODY_STATUS_CODES
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 # Bytes until the end of the head of an answer, with the interim answers before
 # it. Servers and proxies limit a head to 8 to 64 KB.
 MAX_HEAD_BYTES = 128 << 10
 MAX_INTERIM_ANSWERS = 16
+# Answers to other requests before an answer, and the bytes of their bodies.
+MAX_SKIPPED_ANSWERS = 16
+MAX_SKIPPED_BYTES = 128 << 10
 # Received data is parsed in parts of this size, since a part may hold hundreds
 # of messages, and the bounds are checked after each one.
 PART_BYTES = 8192
@@ -26,6 +32,7 @@
 
     Bytes after an answer belong to no request, so they are not parsed.
     `body_bytes` are those received of a body, with the framing of its chunks.
+    `skipped_answers` are those to other requests that came before the answer.
     """
 
     def __init__(self, loop: Any) -> None:
@@ -36,25 +43,51 @@
         self._head_complete = False
         # Bytes that are left of a body with a length.
         self._body_bytes_left: int | None = None
+        self._is_foreign: Callable[[Any], bool] | None = None
+        self.skipped_answers = 0
+        self._skipped_bytes = 0
+        # Whether the answer that is being received is skipped.
+        self._is_skipping = False
 
     def set_response_params(self, **params: Any) -> None:
         """Expect the answer to a request."""
+        self._expect_head()
+        self._is_foreign = None
+        self.skipped_answers = 0
+        self._skipped_bytes = 0
+        super().set_response_params(**params)
+
+    def _expect_head(self) -> None:
         self.body_bytes = 0
         self._head_bytes = 0
         self._interim_answers = 0
         self._head_complete = False
         self._body_bytes_left = None
-        super().set_response_params(**params)
+        self._is_skipping = False
+
+    def skip_answers(self, is_foreign: Callable[[Any], bool]) -> None:
+        """Skip answers that belong to other requests, by their heads.
+
+        A target may send an answer again, where the next one is due.
+        """
+        self._is_foreign = is_foreign
 
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Take a parsed head, with the reader of its body."""
         message, _ = data
         if 100 <= message.code < 200 and message.code != 101:
             self._interim_answers += 1
-        else:
-            self._head_complete = True
-            self._body_bytes_left = self._body_length(message)
-        super().feed_data(data, size)
+            super().feed_data(data, size)
+            return
+        self._head_complete = True
+        self._body_bytes_left = self._body_length(message)
+        if self._is_foreign is None or not self._is_foreign(message):
+            super().feed_data(data, size)
+            return
+        self.skipped_answers += 1
+        self._is_skipping = True
+        if self._body_bytes_left is None and not message.chunked:
+            self._fail('an answer to another request has no end')
 
     def data_received(self, data: bytes) -> None:
         """Parse received data as far as it belongs to an answer."""
@@ -71,24 +104,45 @@
             start += len(part)
             super().data_received(part)
             if not self._head_complete and self._head_too_long():
-                self.set_exception(ClientPayloadError('the head is too long'))
-                self._close()
+                self._fail('the head is too long')
+            if self._is_skipping:
+                self._skip(len(part))
 
     def _next_part(self, data: bytes, start: int) -> bytes:
         """Return the data to parse next: a line of a head, part of a body."""
         end = start + PART_BYTES
         if not self._head_complete:
-            line_end = data.find(b'\n', start, end)
-            part = data[start : line_end + 1 if line_end >= 0 else end]
+            part = _first_line(data, start, end)
             self._head_bytes += len(part)
             return part
-        part = data[start:end]
         if self._body_bytes_left is not None:
-            part = part[: self._body_bytes_left]
+            part = data[start : min(end, start + self._body_bytes_left)]
             self._body_bytes_left -= len(part)
+        elif self._is_skipping:
+            # The last chunk ends with a line, behind which an answer follows.
+            part = _first_line(data, start, end)
+        else:
+            part = data[start:end]
         self.body_bytes += len(part)
         return part
 
+    def _skip(self, size: int) -> None:
+        """Drop what has arrived of an answer to another request."""
+        if not self.is_connected():
+            return
+        self._skipped_bytes += size
+        if (
+            self.skipped_answers > MAX_SKIPPED_ANSWERS
+            or self._skipped_bytes > MAX_SKIPPED_BYTES
+        ):
+            self._fail('too many answers to other requests')
+            return
+        if self._payload is not None:
+            self._payload.read_nowait()
+        if self._answer_complete():
+            self._payload = None
+            self._expect_head()
+
     def _head_too_long(self) -> bool:
         return (
             self._head_bytes > MAX_HEAD_BYTES
@@ -111,6 +165,16 @@
         text = message.headers.get('Content-Length', '')
         return int(text) if text.isdecimal() else None
 
+    def _fail(self, reason: str) -> None:
+        self.set_exception(ClientPayloadError(reason))
+        self._close()
+
     def _close(self) -> None:
         if self.transport is not None:
             self.transport.abort()
+
+
+def _first_line(data: bytes, start: int, end: int) -> bytes:
+    """Return a part of some data as far as its first line end."""
+    line_end = data.find(b'\n', start, end)
+    return data[start : line_end + 1 if line_end >= 0 else end]
--- a/tests/gateway/test_exchanges.py
+++ b/tests/gateway/test_exchanges.py
@@ -125,6 +125,28 @@
         assert response.headers['request-id'] == request_id
 
 
+@pytest.mark.parametrize('foreign', [OK, SHED], ids=['answer', 'refusal'])
+@pytest.mark.parametrize('kind', [('GET', '/read/x'), ('POST', '/write/x')])
+async def test_a_late_answer_to_an_earlier_request_hides_no_other_answer(
+    fleet, kind, foreign
+):
+    method, path = kind
+    fleet.store.put('config', 'main', plan_spec())
+    late = foreign.replace(b'@ID@', b'r1')
+    target = await fleet.start_target(
+        'i-1', lambda n, _: Reply(before=late if n == 2 else b'', delay_s=0.1)
+    )
+    node = await fleet.start_node('n1')
+    for request_id in ('r1', 'r2', 'r3'):
+        response = await fetch(
+            node, path, method=method, request_id=request_id
+        )
+        assert response.status == 200
+        assert response.headers['request-id'] == request_id
+    assert len(target.requests) == 3
+    assert target.connections == 1
+
+
 async def test_a_connection_that_never_opened_is_no_attempt(fleet):
     fleet.store.put('config', 'main', plan_spec())
     unreachable = await fleet.start_target('i-1')
--- a/tests/services/test_response_handler.py
+++ b/tests/services/test_response_handler.py
@@ -8,6 +8,8 @@
 
 from carawaylane.services.response_handler import (
     MAX_INTERIM_ANSWERS,
+    MAX_SKIPPED_ANSWERS,
+    MAX_SKIPPED_BYTES,
     BoundedResponseHandler,
 )
 
@@ -104,3 +106,56 @@
     with pytest.raises((ClientError, HttpProcessingError)):
         await read_final(handler)
     assert not handler.is_connected()
+
+
+FOREIGN = {
+    'length': b'HTTP/1.1 200 OK\r\nId: y\r\nContent-Length: 3\r\n\r\nyes',
+    'no body': b'HTTP/1.1 503 No\r\nId: y\r\nContent-Length: 0\r\n\r\n',
+    'no content': b'HTTP/1.1 204 No Content\r\nId: y\r\n\r\n',
+    'chunks': (
+        b'HTTP/1.1 200 OK\r\nId: y\r\nTransfer-Encoding: chunked\r\n\r\n'
+        b'3\r\nyes\r\n0\r\nTrailer: 1\r\n\r\n'
+    ),
+}
+
+
+def connect_skipping():
+    handler = connect()
+    handler.skip_answers(lambda message: 'Id' in message.headers)
+    return handler
+
+
+@pytest.mark.parametrize('step', [1, 7, 100000])
+@pytest.mark.parametrize('answer', [ANSWER, CHUNKED], ids=['length', 'chunks'])
+@pytest.mark.parametrize('foreign', FOREIGN)
+async def test_an_answer_is_read_behind_one_to_another_request(
+    foreign, answer, step
+):
+    handler = connect_skipping()
+    receive(handler, FOREIGN[foreign] * 2 + INTERIM + answer, step)
+    message, body = await read_final(handler)
+    assert (message.code, body) == (200, b'ok')
+    assert handler.skipped_answers == 2
+    assert not handler.should_close
+    handler.set_response_params(read_until_eof=True)
+    receive(handler, ANSWER, step)
+    assert (await read_final(handler))[1] == b'ok'
+
+
+@pytest.mark.parametrize(
+    'data',
+    [
+        FOREIGN['no body'] * (MAX_SKIPPED_ANSWERS + 1),
+        FOREIGN['chunks'].removesuffix(b'0\r\nTrailer: 1\r\n\r\n')
+        + b'3e8\r\n%s\r\n' % (b'x' * 1000) * (MAX_SKIPPED_BYTES // 1000),
+        b'HTTP/1.1 200 OK\r\nId: y\r\n\r\nyes',
+        FOREIGN['chunks'].replace(b'0\r\n', b'bad\n'),
+    ],
+    ids=['many', 'long', 'no end', 'broken'],
+)
+async def test_answers_to_other_requests_are_skipped_within_bounds(data):
+    handler = connect_skipping()
+    receive(handler, data + ANSWER, 100000)
+    with pytest.raises((ClientError, HttpProcessingError)):
+        await read_final(handler)
+    assert not handler.is_connected()
