Believe a refusal only if it names the request

An unsafe request ran twice, or its caller was told that it did not run, after a refusal without an id, with two ids, or one in a 200 or 500: each counted as a refusal of the request that waited on the connection. And a target's 408, 429 or 503 that does not say that the request did not run was passed on, where callers take these for a promise.

A refusal now counts if it bears the id of the request alone, or none as the first answer on a connection, and a status of refusals; the connection of an answer without an id is closed. A status that promises without saying so ends the exchange as one whose request may have run.

--- a/carawaylane/gateway/exchanges.py
+++ b/carawaylane/gateway/exchanges.py
@@ -217,12 +217,13 @@
             )
         if body is None:
             return BrokenExchange(reason='the answer is too large')
-        if message.should_close:
+        if message.should_close or not answered_ids(message.headers):
             conn.protocol.force_close()
         conn.limit_idle_time(message.headers.get('Keep-Alive', ''))
+        first = conn.requests_sent == 1
         if isinstance(body, bytes):
-            return check_answer(message, body, request)
-        result = check_answer(message, b'', request)
+            return check_answer(message, body, request, first=first)
+        result = check_answer(message, b'', request, first=first)
         if isinstance(result, CompleteAnswer):
             return evolve(result, stream=self._stream(message, body, request))
         conn.protocol.force_close()
--- a/carawaylane/gateway/target_messages.py
+++ b/carawaylane/gateway/target_messages.py
@@ -22,29 +22,33 @@
 
 
 def check_answer(
-    message: Any, body: bytes, request: OutgoingRequest
+    message: Any, body: bytes, request: OutgoingRequest, *, first: bool
 ) -> CompleteAnswer | RefusedByTarget | BrokenExchange:
-    """Return the result of an exchange that ended with a complete answer."""
+    """Return the result of an exchange that ended with a complete answer.
+
+    `first` says that the connection carried no other request. Its answer is
+    then the request's own, even if it is a refusal without an id.
+    """
     headers = read_response_headers(message.code, message.headers)
-    if headers.request_id and headers.request_id != request.request_id:
-        return BrokenExchange(
-            reason='an answer to another request', mismatched=True
-        )
-    if headers.not_run:
-        is_own_answer = bool(headers.request_id) and not headers.misdirected
+    names_request = set(headers.request_ids) == {request.request_id}
+    if headers.contradiction:
+        return BrokenExchange(reason=headers.contradiction, mismatched=True)
+    if headers.not_run and (
+        names_request or (first and not headers.request_ids)
+    ):
         return RefusedByTarget(
             leaving=False,
             deadline_passed=False,
             misdirected=headers.misdirected,
             backpressure=headers.backpressure
-            if is_own_answer
+            if names_request and not headers.misdirected
             else NO_BACKPRESSURE,
         )
     # Targets echo the request id and don't encode their answers, so another
     # answer was not sent by the target.
-    if not headers.request_id or 'Content-Encoding' in message.headers:
+    if not names_request or 'Content-Encoding' in message.headers:
         return BrokenExchange(
-            reason='not an answer of the target', mismatched=True
+            reason='not an answer to the request', mismatched=True
         )
     return CompleteAnswer(
         status=message.code,
--- a/carawaylane/platform/headers.py
+++ b/carawaylane/platform/headers.py
@@ -31,6 +31,10 @@
 LEAVING_HEADER = 'Server-Leaving'
 NOT_LEAVING_VALUE = '0'
 SERVICE_UNAVAILABLE_STATUS = 503
+# Of an answer that says that the target did not run the request.
+REFUSAL_STATUSES = frozenset({400, 408, 421, 429, 503})
+# Callers take these for the promise that their request did not run.
+PROMISE_STATUSES = frozenset({408, 421, 429, 503})
 # Misdirected Request: another target now has the address.
 MISDIRECTED_STATUS = 421
 
@@ -51,11 +55,13 @@
     `not_run` means that the target did not run the request. If it is
     `misdirected`, another target now has the address. `backpressure` is
     what the answer says of the requests that the target takes.
+    `contradiction` says how the answer contradicts itself, if it does.
     """
 
-    request_id: str
+    request_ids: tuple[str, ...]
     not_run: bool
     misdirected: bool
+    contradiction: str
     backpressure: Backpressure
 
 
@@ -96,9 +102,16 @@
     status: int, headers: MultiMapping[str]
 ) -> ResponseHeaders:
     """Parse the status and headers of a target's answer."""
+    not_run = is_refusal(status, headers)
+    contradiction = ''
+    if not_run and status not in REFUSAL_STATUSES:
+        contradiction = f'a refusal with status {status}'
+    elif not not_run and status in PROMISE_STATUSES:
+        contradiction = f'status {status} of a request that may have run'
     return ResponseHeaders(
-        request_id=headers.get(REQUEST_ID_HEADER, ''),
-        not_run=is_refusal(status, headers),
+        request_ids=tuple(answered_ids(headers)),
+        contradiction=contradiction,
+        not_run=not_run,
         misdirected=status == MISDIRECTED_STATUS,
         backpressure=_read_backpressure(status, headers),
     )
--- a/carawaylane/services/targets.py
+++ b/carawaylane/services/targets.py
@@ -120,8 +120,8 @@
 class BrokenExchange:
     """The exchange failed after sending began: the request may have run.
 
-    `mismatched` is set if the answer belongs to another request, `own_path`
-    if the way to the target failed, not the target.
+    `mismatched` is set if an answer came that can't be taken for that of the
+    request, `own_path` if the way to the target failed, not the target.
     """
 
     reason: str
--- a/tests/gateway/test_copied_refusals.py
+++ b/tests/gateway/test_copied_refusals.py
@@ -42,6 +42,33 @@
 REQUESTS = {'safe': ('GET', '/read/x'), 'unsafe': ('POST', '/write/x')}
 
 
+NOT_EXECUTED = b'Not-Executed: 1\r\n'
+# Answers on a kept connection that are no refusals of the request that runs.
+UNTRUE_REFUSALS = {
+    'no id': REFUSAL.replace(b'Request-Id: @ID@\r\n', b''),
+    'misdirected without an id': MISDIRECTED.replace(
+        b'Request-Id: @ID@\r\n', b''
+    ),
+    'two ids': REFUSAL.replace(
+        b'Not-Executed', b'Request-Id: r0\r\nNot-Executed'
+    ),
+    'two ids, the other first': REFUSAL.replace(
+        b'Request-Id', b'Request-Id: r0\r\nRequest-Id'
+    ),
+    'another id': REFUSAL.replace(b'@ID@', b'r0'),
+    'an empty id': REFUSAL.replace(b'@ID@', b''),
+    'a success': REFUSAL.replace(b'503 Service Unavailable', b'200 OK'),
+    'an error': REFUSAL.replace(b'503 Service Unavailable', b'500 Error'),
+    'no promise, 503': REFUSAL.replace(NOT_EXECUTED, b''),
+    'no promise, 429': REFUSAL.replace(NOT_EXECUTED, b'').replace(
+        b'503 Service Unavailable', b'429 Too Many Requests'
+    ),
+    'no promise, 408': REFUSAL.replace(NOT_EXECUTED, b'').replace(
+        b'503 Service Unavailable', b'408 Request Timeout'
+    ),
+}
+
+
 class RefusingTarget:
     """Target that refuses its first request, and copies the refusal later.
 
@@ -130,3 +157,55 @@
     response = await fetch(node, '/write/x', method='POST')
     assert response.status == 200
     assert target.runs == 1
+
+
+@pytest.mark.parametrize('name', UNTRUE_REFUSALS)
+async def test_only_a_refusal_that_names_the_request_refuses_it(fleet, name):
+    runs = []
+
+    def make_reply(number, data):
+        runs.append(data)
+        before = UNTRUE_REFUSALS[name] if number > 1 else b''
+        return Reply(before=before, delay_s=RUN_S if number > 1 else 0)
+
+    fleet.store.put('config', 'main', plan_spec())
+    for target in ('i-1', 'i-2'):
+        await fleet.start_target(target, make_reply)
+    node = await fleet.start_node('n1')
+    for number in range(1, 5):
+        response = await fetch(
+            node, '/write/x', method='POST', request_id=f'r{number}'
+        )
+        assert response.status in (200, 502, 504)
+        assert (response.status == 200) == (
+            'response-seal' in response.headers
+        )
+    assert len(runs) == 4
+
+
+@pytest.mark.parametrize('name', ['no promise, 503', 'no promise, 429'])
+async def test_a_status_without_a_promise_is_not_passed_on_as_one(fleet, name):
+    fleet.store.put('config', 'main', plan_spec())
+    target = await fleet.start_target(
+        'i-1', lambda *_: Reply(data=UNTRUE_REFUSALS[name])
+    )
+    node = await fleet.start_node('n1')
+    response = await fetch(node, '/write/x', method='POST')
+    assert response.status in (502, 504)
+    assert len(target.requests) == 1
+
+
+@pytest.mark.parametrize('name', ['no id', 'misdirected without an id'])
+async def test_a_refusal_without_an_id_counts_on_a_new_connection(fleet, name):
+    fleet.store.put('config', 'main', plan_spec())
+    refusing = await fleet.start_target(
+        'i-1', lambda *_: Reply(data=UNTRUE_REFUSALS[name])
+    )
+    await fleet.start_target('i-2')
+    node = await fleet.start_node('n1')
+    for number in range(8):
+        response = await fetch(
+            node, '/write/x', method='POST', request_id=f'r{number}'
+        )
+        assert response.status == 200
+    assert refusing.connections == len(refusing.requests)
