carawayd: probe targets on connections of their own

Answers to probes bear no id. A late copy of another answer on a shared connection counted as the answer to a probe: a sound target was taken for a failing one by the copy of a refusal. The test fails before and passes after.

--- a/carawaylane/services/targets.py
+++ b/carawaylane/services/targets.py
@@ -262,14 +262,18 @@
         return await self._read_response(req, resp, options)
 
     async def probe(self, path: str, timeout_s: float) -> bool:
-        """Return whether the health page answers with a status below 400."""
-        session = self._session(new_connection=False)
+        """Return whether the health page answers with a status below 400.
+
+        Answers to probes bear no id, so one that came again could be taken
+        for another answer on a shared connection, or another one for it.
+        """
+        session = self._session(new_connection=True)
         timeouts = ClientTimeout(total=timeout_s)
         try:
             async with session.get(
                 f'http://{self.address}{path}', timeout=timeouts
             ) as resp:
-                return resp.status < 400
+                return resp.status < MIN_ERROR_STATUS
         except (TimeoutError, ClientError, OSError):
             return False
 
--- a/tests/services/test_targets.py
+++ b/tests/services/test_targets.py
@@ -155,6 +155,9 @@
 
 
 ECHOING = evolve(OPTIONS, echoes_request_id=True)
+REQUEST = Request(
+    request_id='r', service='s', kind='k', caller='c', method='GET', path='/'
+)
 OWN_ID, OTHER_ID = b'X-Request-Id: r\r\n', b'X-Request-Id: r0\r\n'
 
 
@@ -178,17 +181,24 @@
 )
 async def test_a_refusal_of_another_request_refuses_none(data, result_type):
     target = RawTarget(plan=lambda *_: Reply(data=data))
-    req = Request(
-        request_id='r',
-        service='s',
-        kind='k',
-        caller='c',
-        method='GET',
-        path='/',
-    )
     async with await start_server(target.serve, '127.0.0.1', 0) as server:
         port = server.sockets[0].getsockname()[1]
         client = TargetClient(address=f'127.0.0.1:{port}')
-        result = await client.exchange(req, ECHOING, new_connection=False)
+        result = await client.exchange(REQUEST, ECHOING, new_connection=False)
         await client.close()
     assert isinstance(result, result_type)
+
+
+async def test_a_late_copy_of_an_answer_is_not_the_answer_to_a_probe():
+    def make_reply(number, _data):
+        before = refusal(OWN_ID) if target.connections == 1 else b''
+        return Reply(before=b'' if number == 1 else before)
+
+    target = RawTarget(plan=make_reply)
+    async with await start_server(target.serve, '127.0.0.1', 0) as server:
+        port = server.sockets[0].getsockname()[1]
+        client = TargetClient(address=f'127.0.0.1:{port}')
+        await client.exchange(REQUEST, OPTIONS, new_connection=False)
+        assert await client.probe('/health', 1.0)
+        await client.close()
+    assert len(target.requests) == 2
