Let a broken exchange without a reason make no promise

Whether a request may have run was told by the text of the reason: a peer's reply that a relayed exchange broke, without a text, made the entry answer 503, which promises that the request did not run.

--- a/carawaylane/gateway/attempts.py
+++ b/carawaylane/gateway/attempts.py
@@ -117,9 +117,9 @@
     hedge_at_s: float = float('inf')
     # A server error of a target, returned if no attempt does better.
     error_answer: Answered | None = None
-    # Why the last broken exchange failed; its target may have run the request.
-    # `timed_out` says whether it had no answer before the deadline.
-    broken_reason: str = ''
+    # Why the last broken exchange failed, None if none did. Its target may
+    # have run the request. `timed_out`: it had no answer in time.
+    broken_reason: str | None = None
     timed_out: bool = False
 
     def may_retry(self, now_s: float) -> bool:
@@ -133,13 +133,13 @@
         """Whether a target may have begun to run the request."""
         return bool(
             self.in_flight
-            or self.broken_reason
+            or self.broken_reason is not None
             or self.error_answer is not None
         )
 
     def refused_outcome(self, refusal: Refusal) -> Outcome:
         """Return the outcome if no slot was granted for a next attempt."""
-        if self.error_answer is not None or self.broken_reason:
+        if self.error_answer is not None or self.broken_reason is not None:
             return self.failed_outcome()
         # No target has run the request: each refused it or was unreachable.
         if refusal.reason == OVER_QUOTA_REASON:
@@ -163,7 +163,7 @@
         """Return the outcome if no further attempt follows."""
         if self.error_answer is not None:
             return self.error_answer
-        if self.timed_out or self.broken_reason:
+        if self.broken_reason is not None:
             if self.routed.route.idempotent and not self.timed_out:
                 return Failed(reason=self.broken_reason, retry_after_ms=0)
             return Unknown(reason=self.broken_reason)
