--- a/standins/raw_target.py
+++ b/standins/raw_target.py
@@ -92,7 +92,7 @@
         self._writers.add(writer)
         try:
             while True:
-                data = await _read_request(reader)
+                data = await read_request(reader)
                 self.requests.append(data)
                 self.arrival_times_s.append(monotonic())
                 reply = self._next_reply(data)
@@ -128,7 +128,7 @@
             await reader.read()
             self.aborted_requests += 1
             return False
-        request_id = _request_id(data)
+        request_id = request_id_of(data)
         if reply.before:
             writer.write(
                 reply.before.replace(REQUEST_ID_PLACEHOLDER, request_id)
@@ -168,7 +168,8 @@
             await sleep(0)
 
 
-async def _read_request(reader: StreamReader) -> bytes:
+async def read_request(reader: StreamReader) -> bytes:
+    """Return the bytes of the next request on a connection."""
     head = await reader.readuntil(b'\r\n\r\n')
     length = 0
     for line in head.lower().split(b'\r\n'):
@@ -177,7 +178,8 @@
     return head + await reader.readexactly(length)
 
 
-def _request_id(data: bytes) -> bytes:
+def request_id_of(data: bytes) -> bytes:
+    """Return the id of a request, empty if it has none."""
     for line in data.split(b'\r\n'):
         if line.lower().startswith(b'request-id:'):
             return line.partition(b':')[2].strip()
