--- a/tests/decisions/admission/test_decisions_as_before.py
+++ b/tests/decisions/admission/test_decisions_as_before.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from hashlib import sha256
+from platform import machine
 
 import pytest
 from attrs import evolve
@@ -10,11 +11,19 @@
 from bench.dispatch_sim import LOADS, Simulation
 from carawaylane.decisions.admission.dispatcher import Dispatcher
 
-# Digests of all replies, recorded with the dispatcher of commit 5a93705.
+# Digests of all replies, recorded with the dispatcher of commit 5a93705. The
+# last bit of a logarithm or power may differ between kinds of processors.
 RECORDED = {
-    'tight': '5c621454412716d30308b4d2d0cfbfe3',
-    'overload': '924b3040c6a8f0d8338ccafe6bc9096b',
-    'crowded': 'a9f5cf799006d02cbc50395f8b0bbf17',
+    'aarch64': {
+        'tight': '5c621454412716d30308b4d2d0cfbfe3',
+        'overload': '924b3040c6a8f0d8338ccafe6bc9096b',
+        'crowded': 'a9f5cf799006d02cbc50395f8b0bbf17',
+    },
+    'x86_64': {
+        'tight': 'c5f738ae5b5e752d843ab5879db404c4',
+        'overload': '924b3040c6a8f0d8338ccafe6bc9096b',
+        'crowded': 'a9f5cf799006d02cbc50395f8b0bbf17',
+    },
 }
 
 
@@ -37,7 +46,7 @@
         return replies
 
 
-@pytest.mark.parametrize('name', list(RECORDED))
+@pytest.mark.parametrize('name', ['tight', 'overload', 'crowded'])
 def test_decisions_without_customers_are_those_recorded(name):
     """Guards against new decisions where no configuration asks for them."""
     simulation = Simulation(
@@ -46,4 +55,5 @@
         dispatcher_class=RecordingDispatcher,
     )
     simulation.run()
-    assert simulation.dispatcher.digest.hexdigest()[:32] == RECORDED[name]
+    recorded = RECORDED[machine()][name]
+    assert simulation.dispatcher.digest.hexdigest()[:32] == recorded
