Split an absolute request target where its host ends

A request for http://h/stock/1 reached a target with the path /ttp://h/stock/1: the host was looked for from the start of the text, where a host whose name is a part of the scheme is found first. Three of eight new cases in tests/gateway/test_caller_requests.py fail before, none after.

--- a/carawaylane/gateway/caller_requests.py
+++ b/carawaylane/gateway/caller_requests.py
@@ -287,7 +287,7 @@
         if url.scheme != 'http' or not url.netloc:
             return None, path
         host = url.netloc
-        path = path[path.index(url.netloc) + len(url.netloc) :]
+        path = path.partition('://')[2].removeprefix(url.netloc)
         path = path if path.startswith('/') else f'/{path}'
     host_name = host.rpartition('@')[2].lower()
     if host_name.count(':') == 1:
