Close idle connections to addresses that are no longer used

The pool closed old connections of an address only when the address was used again, so those to targets that are gone were kept for good, and their descriptors with them. One new case in tests/gateway/test_target_connections.py fails before and passes after; the others there pin the pool's rule for requests.

--- a/carawaylane/gateway/target_connections.py
+++ b/carawaylane/gateway/target_connections.py
@@ -107,6 +107,7 @@
 
     def __init__(self) -> None:
         self._idle: dict[str, list[Connection]] = defaultdict(list)
+        self._cleaned_at_s = float('-inf')
         self.opened = 0
 
     async def open(self, address: str) -> Connection:
@@ -135,7 +136,7 @@
         """
         if not request.request_id:
             return None
-        conns = self._idle[address]
+        conns = self._idle.get(address, [])
         for conn in reversed(conns.copy()):
             if not conn.is_reusable(now_s, request.idempotent):
                 conns.remove(conn)
@@ -148,11 +149,29 @@
     def put(self, address: str, conn: Connection, now_s: float) -> None:
         """Keep a connection whose exchange has ended."""
         conn.idle_since_s = now_s
+        self._close_old(now_s)
         conns = self._idle[address]
         conns.append(conn)
         if len(conns) > MAX_IDLE_PER_ADDRESS:
             conns.pop(0).transport.abort()
 
+    def _close_old(self, now_s: float) -> None:
+        """Close connections that nobody may use, also of unused addresses."""
+        if now_s - self._cleaned_at_s < MAX_IDLE_S:
+            return
+        self._cleaned_at_s = now_s
+        for address, conns in list(self._idle.items()):
+            kept = []
+            for conn in conns:
+                if conn.is_reusable(now_s, idempotent=True):
+                    kept.append(conn)
+                else:
+                    conn.transport.abort()
+            if kept:
+                self._idle[address] = kept
+            else:
+                del self._idle[address]
+
     def close(self) -> None:
         """Close the idle connections."""
         for conns in self._idle.values():
