Read a Keep-Alive time of any length

A target's Keep-Alive of 309 digits or more raised OverflowError, of more than 4300 ValueError, so that its answer became a 500 of the node. Two cases in tests/gateway/test_target_connections.py (400 and 5000 digits) fail before and pass after.

--- a/carawaylane/gateway/target_connections.py
+++ b/carawaylane/gateway/target_connections.py
@@ -31,7 +31,8 @@
 # The operating system closes a connection if sent data stays unacknowledged
 # for this long, which means that the network path is dead.
 UNACKNOWLEDGED_TIMEOUT_MS = 5000
-_KEEP_ALIVE_TIMEOUT_PATTERN = re_compile(r'timeout=(\d+)')
+# Longer numbers exceed MAX_IDLE_S as well.
+_KEEP_ALIVE_TIMEOUT_PATTERN = re_compile(r'timeout=(\d{1,9})')
 
 
 class ResponseHandler(BoundedResponseHandler):
--- a/tests/gateway/test_target_connections.py
+++ b/tests/gateway/test_target_connections.py
@@ -88,3 +88,10 @@
     for now_s in (MAX_IDLE_S / 2, MAX_IDLE_S + 1):
         pool.put('a:1', make_connection(2), now_s)
     assert not gone.protocol.is_connected()
+
+
+@pytest.mark.parametrize('digits', [1, 9, 400, 5000])
+def test_a_keep_alive_time_of_any_length_is_read(digits):
+    conn = make_connection()
+    conn.limit_idle_time('timeout=' + '9' * digits)
+    assert conn.max_idle_s <= MAX_IDLE_S
