Take no promise from a peer's answer

A peer with an older build passes on a target's 408, 429 or 503 that does not say that the request did not run; the entry, on this build, gave it to the caller as a promise. An empty reply counted as an answer with status 0. Both now break the exchange.

--- a/carawaylane/gateway/target_paths.py
+++ b/carawaylane/gateway/target_paths.py
@@ -14,6 +14,7 @@
 from carawaylane.decisions.targets.target_paths import RelayPeers, TargetPaths
 from carawaylane.gateway.relays import NotRelayed
 from carawaylane.kernel.service import Service, service
+from carawaylane.platform.headers import PROMISE_STATUSES
 from carawaylane.rpc.fleet_pb2 import ReachReply, ReachRequest, RelayReply
 from carawaylane.rpc.relay_codec import (
     pack_relay_reply,
@@ -364,4 +365,12 @@
         return BrokenExchange(reason='a peer was lost', own_path=True)
     if isinstance(reply, NotRelayed):
         return NeverSent(reason=reply.reason, own_path=True)
-    return unpack_relay_reply(reply)
+    result = unpack_relay_reply(reply)
+    # A node with an older build doesn't check what the status promises.
+    if isinstance(result, CompleteAnswer) and (
+        not result.status or result.status in PROMISE_STATUSES
+    ):
+        return BrokenExchange(
+            reason=f'status {result.status} from a peer', mismatched=True
+        )
+    return result
