Skip only copies whose end is certain, and believe no refusal without an id

A copy is skipped only if the connection carried its request and no HEAD, it tells its length, and it ends with the data received; a refusal behind a skipped body, or without an id, refuses nothing. The callback is dropped with the head, and a connection keeps hashes of ids.

--- a/carawaylane/gateway/backpressure.py
+++ b/carawaylane/gateway/backpressure.py
@@ -10,8 +10,12 @@
     TargetIdentity,
 )
 from carawaylane.kernel.service import Service, service
-from carawaylane.messages.outcomes import InvalidNumber
-from carawaylane.services.targets import CompleteAnswer, RefusedByTarget
+from carawaylane.messages.outcomes import NO_BACKPRESSURE, InvalidNumber
+from carawaylane.services.targets import (
+    BrokenExchange,
+    CompleteAnswer,
+    NeverSent,
+)
 from carawaylane.telemetry.events import (
     PAUSE_INVALID,
     RATE_LIMIT,
@@ -77,7 +81,10 @@
         One that names no limit lifts it only if the target ran the request
         without an error: a target in need may refuse requests otherwise.
         """
-        if not isinstance(result, CompleteAnswer | RefusedByTarget):
+        if isinstance(result, NeverSent) or (
+            isinstance(result, BrokenExchange)
+            and result.backpressure == NO_BACKPRESSURE
+        ):
             return
         spec = self._directory.targets.get(target)
         limit_before = self.heard.rate_of(target)
--- a/carawaylane/gateway/exchanges.py
+++ b/carawaylane/gateway/exchanges.py
@@ -22,7 +22,12 @@
     AnswerStream,
 )
 from carawaylane.gateway.target_connections import ConnectionPool
-from carawaylane.gateway.target_messages import check_answer, request_head
+from carawaylane.gateway.target_messages import (
+    FOREIGN_ANSWER,
+    check_answer,
+    names_another,
+    request_head,
+)
 from carawaylane.kernel.service import Service, service
 from carawaylane.kernel.timeouts import ReplyTimeout
 from carawaylane.platform.headers import answered_ids, is_refusal
@@ -186,6 +191,8 @@
         request: OutgoingRequest,
         time_left_s: float,
     ) -> ExchangeResult:
+        if conn.protocol.should_close:
+            return NeverSent(reason='an answer came before the request')
         conn.protocol.set_response_params(
             skip_payload=request.method == 'HEAD',
             read_until_eof=True,
@@ -194,9 +201,9 @@
             max_field_size=MAX_HEADER_LINE_BYTES,
         )
         conn.protocol.skip_answers(
-            partial(self._is_foreign, conn, target, request)
+            partial(self._is_foreign, conn, target, request.request_id)
         )
-        conn.add_request(request.request_id)
+        conn.add_request(request)
         conn.transport.write(
             request_head(request, target, time_left_s) + request.body
         )
@@ -204,6 +211,8 @@
             message, payload = await conn.protocol.read()
             while 100 <= message.code < 200:
                 message, payload = await conn.protocol.read()
+            if names_another(message, request):
+                return FOREIGN_ANSWER
             body = await self._read_body(
                 conn.protocol,
                 payload,
@@ -211,40 +220,46 @@
                 self._buffer_limit(message, request),
             )
         except ANSWER_ERRORS as exc:
-            return BrokenExchange(
-                reason=type(exc).__name__,
-                mismatched=conn.protocol.skipped_answers > 0,
-            )
+            return BrokenExchange(reason=type(exc).__name__)
+        finally:
+            # It refers to the connection, which may be kept for long.
+            conn.protocol.skip_answers(None)
         if body is None:
             return BrokenExchange(reason='the answer is too large')
         if message.should_close or not answered_ids(message.headers):
             conn.protocol.force_close()
         conn.limit_idle_time(message.headers.get('Keep-Alive', ''))
-        first = conn.requests_sent == 1
         if isinstance(body, bytes):
-            return check_answer(message, body, request, first=first)
-        result = check_answer(message, b'', request, first=first)
+            result = check_answer(message, body, request)
+            if (
+                isinstance(result, RefusedByTarget)
+                and conn.protocol.skipped_bytes
+            ):
+                return BrokenExchange(
+                    reason='a refusal behind another answer', mismatched=True
+                )
+            return result
+        result = check_answer(message, b'', request)
         if isinstance(result, CompleteAnswer):
             return evolve(result, stream=self._stream(message, body, request))
         conn.protocol.force_close()
         return result
 
     def _is_foreign(
-        self,
-        conn: Connection,
-        target: str,
-        request: OutgoingRequest,
-        message: Any,
+        self, conn: Connection, target: str, request_id: str, message: Any
     ) -> bool:
-        """Return whether an answer belongs to another request only."""
+        """Return whether an answer is one to an earlier request again.
+
+        The length of an answer to a HEAD request is not that of its body.
+        """
         answer_ids = answered_ids(message.headers)
-        if answer_ids == [request.request_id]:
+        if answer_ids == [request_id]:
             return False
         refused = is_refusal(message.code, message.headers)
         self._metrics.count('doubtful_answers', refused=str(refused))
         emit(
             ANSWER_DOUBTFUL,
-            request=request.request_id,
+            request=request_id,
             target=target,
             connection=conn.number,
             requests_before=conn.requests_sent - 1,
@@ -252,7 +267,11 @@
             status=message.code,
             refused=refused,
         )
-        return bool(answer_ids) and request.request_id not in answer_ids
+        return (
+            len(answer_ids) == 1
+            and conn.has_carried(answer_ids[0])
+            and not conn.carried_head
+        )
 
     def _buffer_limit(
         self, message: Any, request: OutgoingRequest
--- a/carawaylane/gateway/target_connections.py
+++ b/carawaylane/gateway/target_connections.py
@@ -64,26 +64,34 @@
     # When the last exchange on the connection ended.
     idle_since_s: float = 0.0
     max_idle_s: float = MAX_IDLE_S
-    _sent_ids: set[str] = field(init=False, factory=set)
+    # Hashes of the ids of the requests that were sent on the connection.
+    _sent_ids: set[int] = field(init=False, factory=set)
+    # Whether one of them has no id, or asked for a head only.
+    _carried_nameless: bool = field(init=False, default=False)
+    carried_head: bool = field(init=False, default=False)
 
     @property
     def requests_sent(self) -> int:
         """How many requests were sent on the connection."""
         return len(self._sent_ids)
 
-    def add_request(self, request_id: str) -> None:
+    def add_request(self, request: OutgoingRequest) -> None:
         """Record that a request is sent on the connection."""
-        self._sent_ids.add(request_id)
+        self._sent_ids.add(hash(request.request_id))
+        if not request.request_id:
+            self._carried_nameless = True
+        if request.method == 'HEAD':
+            self.carried_head = True
 
     def has_carried(self, request_id: str) -> bool:
         """Return whether the request was sent on the connection before."""
-        return request_id in self._sent_ids
+        return hash(request_id) in self._sent_ids
 
     def is_reusable(self, now_s: float, idempotent: bool) -> bool:
         """Return whether another request may be sent on the connection."""
         if self.protocol.should_close or not self.protocol.is_connected():
             return False
-        if '' in self._sent_ids or (
+        if self._carried_nameless or (
             self.requests_sent >= MAX_REQUESTS_PER_CONNECTION
         ):
             return False
--- a/carawaylane/gateway/target_messages.py
+++ b/carawaylane/gateway/target_messages.py
@@ -6,6 +6,7 @@
 
 from carawaylane.messages.outcomes import NO_BACKPRESSURE
 from carawaylane.platform.headers import (
+    answered_ids,
     read_response_headers,
     target_request_headers,
 )
@@ -21,32 +22,50 @@
     from carawaylane.messages.outcomes import Headers
 
 
+FOREIGN_ANSWER = BrokenExchange(
+    reason='an answer to another request', mismatched=True
+)
+
+
+def names_another(message: Any, request: OutgoingRequest) -> bool:
+    """Return whether the head of an answer names another request."""
+    return any(
+        answer_id != request.request_id
+        for answer_id in answered_ids(message.headers)
+    )
+
+
 def check_answer(
-    message: Any, body: bytes, request: OutgoingRequest, *, first: bool
+    message: Any, body: bytes, request: OutgoingRequest
 ) -> CompleteAnswer | RefusedByTarget | BrokenExchange:
-    """Return the result of an exchange that ended with a complete answer.
-
-    `first` says that the connection carried no other request. Its answer is
-    then the request's own, even if it is a refusal without an id.
-    """
+    """Return the result of an exchange that ended with a complete answer."""
     headers = read_response_headers(message.code, message.headers)
-    names_request = set(headers.request_ids) == {request.request_id}
+    expected_ids = {request.request_id} if request.request_id else set()
+    names_request = set(headers.request_ids) == expected_ids
     if headers.contradiction:
-        return BrokenExchange(reason=headers.contradiction, mismatched=True)
-    if headers.not_run and (
-        names_request or (first and not headers.request_ids)
-    ):
+        return BrokenExchange(
+            reason=headers.contradiction,
+            mismatched=True,
+            backpressure=headers.backpressure
+            if names_request
+            else NO_BACKPRESSURE,
+        )
+    if headers.not_run and names_request:
         return RefusedByTarget(
             leaving=False,
             deadline_passed=False,
             misdirected=headers.misdirected,
-            backpressure=headers.backpressure
-            if names_request and not headers.misdirected
-            else NO_BACKPRESSURE,
+            backpressure=NO_BACKPRESSURE
+            if headers.misdirected
+            else headers.backpressure,
         )
     # Targets echo the request id and don't encode their answers, so another
     # answer was not sent by the target.
-    if not names_request or 'Content-Encoding' in message.headers:
+    if (
+        not names_request
+        or not headers.request_ids
+        or 'Content-Encoding' in message.headers
+    ):
         return BrokenExchange(
             reason='not an answer to the request', mismatched=True
         )
--- a/carawaylane/services/targets.py
+++ b/carawaylane/services/targets.py
@@ -129,6 +129,7 @@
     mismatched: bool = False
     timed_out: bool = False
     own_path: bool = False
+    backpressure: Backpressure = NO_BACKPRESSURE
 
 
 ExchangeResult = (
