carawayd: take no answer for whole that was reset

An answer without a length ends with its connection. In carawayd a reset ended it as well, so a caller got a 200 with an empty or short body, framed as whole; so did a streamed answer. aiohttp feeds the end of data to its parser however a connection ends. The node fails the body first, in a subclass of its own.

The check now is in BoundedResponseHandler, which the node and carawayd share, and the subclass is gone.

--- a/carawaylane/gateway/exchanges.py
+++ b/carawaylane/gateway/exchanges.py
@@ -37,12 +37,10 @@
 
 if TYPE_CHECKING:
     from carawaylane.decisions.admission.memory_budget import Holding
-    from carawaylane.gateway.target_connections import (
-        Connection,
-        ResponseHandler,
-    )
+    from carawaylane.gateway.target_connections import Connection
     from carawaylane.kernel.kernel import Kernel
     from carawaylane.messages.exchange import OutgoingRequest
+    from carawaylane.services.response_handler import BoundedResponseHandler
 
 CONNECT_TIMEOUT_S = 0.3
 MAX_HEADER_LINE_BYTES = 65536
@@ -284,7 +282,7 @@
 
     async def _read_body(
         self,
-        protocol: ResponseHandler,
+        protocol: BoundedResponseHandler,
         payload: StreamReader,
         holding: Holding | None,
         buffer_limit: int | None,
--- a/carawaylane/gateway/target_connections.py
+++ b/carawaylane/gateway/target_connections.py
@@ -34,20 +34,6 @@
 _KEEP_ALIVE_TIMEOUT_PATTERN = re_compile(r'timeout=(\d+)')
 
 
-class ResponseHandler(BoundedResponseHandler):
-    """Protocol that fails the body of an answer if the connection is reset.
-
-    An answer without a length ends when the connection closes; aiohttp would
-    take one that was cut off by a reset as complete.
-    """
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(exc)
-        super().connection_lost(exc)
-
-
 @define(kw_only=True, eq=False, repr=False)
 class Connection:
     """A connection to a target, which carries each request at most once.
@@ -58,7 +44,7 @@
     """
 
     number: int
-    protocol: ResponseHandler
+    protocol: BoundedResponseHandler
     transport: Any
     # When the last exchange on the connection ended.
     idle_since_s: float = 0.0
@@ -116,7 +102,7 @@
         self.opened += 1
         number = self.opened
         transport, protocol = await loop.create_connection(
-            lambda: ResponseHandler(loop), host, int(port)
+            lambda: BoundedResponseHandler(loop), host, int(port)
         )
         sock = transport.get_extra_info('socket')
         sock.setsockopt(
--- a/carawaylane/services/response_handler.py
+++ b/carawaylane/services/response_handler.py
@@ -1,14 +1,15 @@
 """Protocol of a connection to a target that bounds what the target sends.
 
 aiohttp bounds a header line and what is buffered of a body, but neither the
-interim answers before an answer nor what follows it.
+interim answers before an answer nor what follows it. It also takes a body
+without a length for complete if the connection is reset.
 """
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Any
 
-from aiohttp import ClientPayloadError
+from aiohttp import ClientError, ClientPayloadError
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.helpers import EMPTY_BODY_STATUS_CODES
 
@@ -108,6 +109,20 @@
             if self._is_skipping:
                 self._skip(len(part))
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail a body that is cut off by a reset, with or without a length."""
+        if exc is not None:
+            self._fail_body(exc)
+        super().connection_lost(exc)
+
+    def _fail_body(self, exc: BaseException) -> None:
+        payload = self._payload
+        if payload is None or payload.is_eof() or payload.exception():
+            return
+        if not isinstance(exc, (ClientError, OSError)):
+            exc = ClientPayloadError(repr(exc))
+        payload.set_exception(exc)
+
     def _next_part(self, data: bytes, start: int) -> bytes:
         """Return the data to parse next: a line of a head, part of a body."""
         end = start + PART_BYTES
--- a/tests/services/test_targets.py
+++ b/tests/services/test_targets.py
@@ -16,6 +16,7 @@
     RefusedByTarget,
     StreamedAnswer,
     TargetClient,
+    TruncatedError,
 )
 from standins.raw_target import RawTarget, Reply
 
@@ -202,3 +203,46 @@
         assert await client.probe('/health', 1.0)
         await client.close()
     assert len(target.requests) == 2
+
+
+async def exchange_with(reply, **changes):
+    """Return the result of an exchange, and the body read after it."""
+    target = RawTarget(plan=lambda *_: reply)
+    options = evolve(OPTIONS, **changes)
+    async with await start_server(target.serve, '127.0.0.1', 0) as server:
+        port = server.sockets[0].getsockname()[1]
+        client = TargetClient(address=f'127.0.0.1:{port}')
+        result = await client.exchange(REQUEST, options, new_connection=True)
+        body = b''
+        try:
+            if isinstance(result, StreamedAnswer):
+                body = b''.join([data async for data in result.rest])
+        except TruncatedError as exc:
+            return exc, b''
+        finally:
+            await client.close()
+    return result, body
+
+
+NO_LENGTH = HEAD + b'\r\n' + b'x' * 1000
+
+
+@pytest.mark.parametrize('data', [HEAD + b'\r\n', NO_LENGTH])
+async def test_an_answer_without_a_length_that_is_reset_is_broken(data):
+    result, _ = await exchange_with(Reply(data=data, connection_end='reset'))
+    assert isinstance(result, BrokenExchange)
+
+
+async def test_a_streamed_answer_without_a_length_that_is_reset_is_cut():
+    result, _ = await exchange_with(
+        Reply(data=NO_LENGTH, connection_end='reset'), max_buffered_bytes=100
+    )
+    assert isinstance(result, TruncatedError)
+
+
+async def test_an_answer_without_a_length_that_ends_by_closing_is_whole():
+    reply = Reply(data=NO_LENGTH, connection_end='close')
+    result, _ = await exchange_with(reply)
+    assert result.body == b'x' * 1000
+    result, rest = await exchange_with(reply, max_buffered_bytes=100)
+    assert result.body + rest == b'x' * 1000
