Notice at once that an answer can't be parsed further

An answer with a malformed chunk, or a length in a trailer, after a good head: the connection was closed, but whoever read the body waited for nothing. In the node an unsafe request ended at its deadline, a safe one was not sent again before, its target counted as overdue, and a streamed response stood still for 5 s before it broke off. carawayd waited for its read timeout. No caller got a wrong answer.

aiohttp's parser drops its body reader as it raises an error, and the protocol tells only those who wait for a head. BoundedResponseHandler.set_exception now fails the body that is being received as well.

python -m pytest -k malformed tests/services/test_cut_answers.py tests/services/test_targets.py tests/gateway/test_exchanges.py tests/gateway/test_memory.py: 7 of 7 fail before, none after.

--- a/carawaylane/services/response_handler.py
+++ b/carawaylane/services/response_handler.py
@@ -115,6 +115,14 @@
             self._fail_body(exc)
         super().connection_lost(exc)
 
+    def set_exception(self, exc: BaseException, *args: Any) -> None:
+        """Fail the body that is being received, too.
+
+        aiohttp wakes nobody who reads a body that can't be parsed further.
+        """
+        super().set_exception(exc, *args)
+        self._fail_body(exc)
+
     def _fail_body(self, exc: BaseException) -> None:
         payload = self._payload
         if payload is None or payload.is_eof() or payload.exception():
--- a/tests/gateway/test_exchanges.py
+++ b/tests/gateway/test_exchanges.py
@@ -4,7 +4,7 @@
 runs at most once.
 """
 
-from asyncio import Event, create_task
+from asyncio import Event, create_task, timeout
 from gzip import compress
 
 import pytest
@@ -80,6 +80,18 @@
     assert len(received) == 2
 
 
+async def test_no_caller_waits_for_an_answer_that_is_malformed(fleet):
+    bad_chunks = HEAD + b'Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\nzz\r\n'
+    routes = [route_spec('write', '/write/', kind='unsafe', timeout_ms=20000)]
+    fleet.store.put('config', 'main', plan_spec(routes=routes))
+    target = await fleet.start_target('i-1', lambda *_: Reply(data=bad_chunks))
+    node = await fleet.start_node('n1')
+    async with timeout(5):
+        response = await fetch(node, '/write/x', method='POST', body=b'1')
+    assert response.status in (502, 504)
+    assert len(target.requests) == 1
+
+
 async def test_an_answer_without_a_length_ends_with_the_connection(fleet):
     node, _ = await start_two_targets(
         fleet, [Reply(data=HEAD + b'\r\nabc', connection_end='close')]
--- a/tests/gateway/test_memory.py
+++ b/tests/gateway/test_memory.py
@@ -153,6 +153,17 @@
     await fleet.wait_until(lambda: budget_of(node).used_bytes == 0)
 
 
+async def test_a_large_answer_that_is_malformed_breaks_off_at_once(fleet):
+    _, node = await start(
+        fleet, lambda n, _: Reply(data=CHUNKED + CHUNK + b'zz\r\n')
+    )
+    async with timeout(3):
+        received, reset = await read_all(node, get_request())
+    assert received.startswith(b'HTTP/1.1 200')
+    assert reset
+    assert not received.endswith(b'0\r\n\r\n')
+
+
 async def test_a_caller_that_leaves_stops_a_large_answer(fleet):
     _, node = await start(
         fleet, lambda n, _: Reply(data=SIZED, endless=LARGE_BODY[:1000])
--- a/tests/services/test_cut_answers.py
+++ b/tests/services/test_cut_answers.py
@@ -187,3 +187,18 @@
     for step in STEPS:
         result = await outcome(HEAD + lines + b'\r\n' + body, step, 'closed')
         assert is_error(result), step
+
+
+CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+MALFORMED = {
+    'no size': CHUNKED + b'5\r\n01234\r\nzz\r\n',
+    'long chunk': CHUNKED + b'5\r\n0123456789ab\r\n0\r\n\r\n',
+    'huge size': CHUNKED + b'5\r\n01234\r\n' + b'f' * 17 + b'\r\n',
+    'length in a trailer': CHUNKED + CHUNKS + LENGTH + b'\r\n',
+}
+
+
+@pytest.mark.parametrize('name', MALFORMED)
+async def test_no_reader_waits_for_an_answer_that_is_malformed(name):
+    for step in STEPS:
+        assert is_error(await outcome(MALFORMED[name], step, 'silent')), step
--- a/tests/services/test_targets.py
+++ b/tests/services/test_targets.py
@@ -3,7 +3,7 @@
 An unsafe request reaches a target at most once.
 """
 
-from asyncio import gather, sleep, start_server
+from asyncio import gather, sleep, start_server, timeout
 
 import pytest
 from attrs import evolve
@@ -246,3 +246,12 @@
     assert result.body == b'x' * 1000
     result, rest = await exchange_with(reply, max_buffered_bytes=100)
     assert result.body + rest == b'x' * 1000
+
+
+async def test_no_exchange_waits_for_an_answer_that_is_malformed():
+    data = HEAD + b'Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\nzz\r\n'
+    async with timeout(2):
+        result, _ = await exchange_with(
+            Reply(data=data), head_timeout_s=20, read_timeout_s=20
+        )
+    assert isinstance(result, BrokenExchange)
