carawayd: reset a streamed response that breaks off

A large answer that breaks off ended the caller's connection with a regular close. To an HTTP/1.0 caller the response has no length and ends with its connection, so the part looked whole. The same happened if the stream ended without an outcome or with an exception.

The connection now is reset, however the response ends before its last byte. The node did that already; the function is shared.

--- a/carawaylane/gateway/caller_responses.py
+++ b/carawaylane/gateway/caller_responses.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from socket import SO_LINGER, SOL_SOCKET
-from struct import pack
 from typing import TYPE_CHECKING, Any
 
 from aiohttp.payload import Payload
@@ -14,9 +12,9 @@
 from carawaylane.gateway.streamed_answers import BrokenAnswerError
 from carawaylane.messages.outcomes import Answered, NotRun, Outcome, Unknown
 from carawaylane.platform.headers import retry_after_headers
+from carawaylane.services.caller_responses import reset_connection
 
 if TYPE_CHECKING:
-    from asyncio import Transport
     from collections.abc import AsyncIterator
 
     from carawaylane.decisions.admission.memory_budget import Holding
@@ -85,7 +83,7 @@
                     await writer.drain()
                     self._holding.record_sent(len(piece))
         except BrokenAnswerError:
-            _reset(writer.transport)
+            reset_connection(writer.transport)
             raise ConnectionResetError('the answer broke off') from None
 
     async def _chunks(self) -> AsyncIterator[bytes]:
@@ -96,16 +94,6 @@
             yield chunk
 
 
-def _reset(transport: Transport | None) -> None:
-    """Reset a connection: after a regular close, a body may look complete."""
-    if transport is None:
-        return
-    sock = transport.get_extra_info('socket')
-    # With a linger time of 0, a close sends RST instead of FIN.
-    sock.setsockopt(SOL_SOCKET, SO_LINGER, pack('ii', 1, 0))
-    transport.abort()
-
-
 def render_outcome(
     outcome: Outcome, holding: Holding | None = None
 ) -> CallerResponse:
--- a/carawaylane/services/entry.py
+++ b/carawaylane/services/entry.py
@@ -25,6 +25,7 @@
     ProblemAnswer,
     problem_of,
     problem_response,
+    reset_connection,
     response_headers,
 )
 from carawaylane.services.targets import HOP_BY_HOP_HEADERS
@@ -310,21 +311,22 @@
             status=head.status,
             headers=response_headers(head.headers, req.request_id),
         )
-        await resp.prepare(http_req)
-        await resp.write(bytes(buffered))
-        async for chunk in chunks:
-            if chunk.data:
-                await resp.write(chunk.data)
-            if isinstance(chunk.outcome, Answered):
-                self._count_outcome(kind, chunk.outcome)
-                await resp.write_eof()
-                return resp
-            if chunk.outcome is not None:
-                self._count_outcome(kind, chunk.outcome)
-        # Abort the connection, so that the caller does not take the truncated
-        # answer for complete.
-        if http_req.transport is not None:
-            http_req.transport.abort()
+        is_whole = False
+        try:
+            await resp.prepare(http_req)
+            await resp.write(bytes(buffered))
+            async for chunk in chunks:
+                if chunk.data:
+                    await resp.write(chunk.data)
+                if chunk.outcome is not None:
+                    self._count_outcome(kind, chunk.outcome)
+                if isinstance(chunk.outcome, Answered):
+                    await resp.write_eof()
+                    is_whole = True
+                    break
+        finally:
+            if not is_whole:
+                reset_connection(http_req.transport)
         return resp
 
     def _complete_response(
