Take no answer without a clear end

With Content-Length: 2**64 - 1, aiohttp's parser hands out an empty body: in the node and in carawayd a caller got a 200 with an empty body, framed as whole, as soon as the head was there. With another transfer coding than chunks, or chunks twice, the body came coded (or with the chunks' own framing), under a length of the node's own.

BoundedResponseHandler now fails an answer whose length exceeds 2**63 - 1 or whose Transfer-Encoding is not chunked, once. A safe request goes on to another target, an unsafe one ends as unknown. Contradictions (two lengths, a length beside chunks, a length that is no number) were refused by the parser before; the tests cover them too.

--- a/carawaylane/services/response_handler.py
+++ b/carawaylane/services/response_handler.py
@@ -20,6 +20,8 @@
 # it. Servers and proxies limit a head to 8 to 64 KB.
 MAX_HEAD_BYTES = 128 << 10
 MAX_INTERIM_ANSWERS = 16
+# aiohttp takes some longer bodies for empty.
+MAX_BODY_BYTES = (1 << 63) - 1
 # Answers to other requests before an answer, and the bytes of their bodies.
 MAX_SKIPPED_ANSWERS = 16
 MAX_SKIPPED_BYTES = 128 << 10
@@ -82,6 +84,9 @@
             return
         self._head_complete = True
         self._body_bytes_left = self._body_length(message)
+        if not self._has_clear_end(message):
+            self._fail('an answer without a clear end')
+            return
         if self._is_foreign is None or not self._is_foreign(message):
             super().feed_data(data, size)
             return
@@ -188,6 +193,18 @@
         text = message.headers.get('Content-Length', '')
         return int(text) if text.isdecimal() else None
 
+    def _has_clear_end(self, message: Any) -> bool:
+        """Return whether the framing of an answer is one that is understood.
+
+        With another coding than chunks, the body is not what was received.
+        """
+        if self._body_bytes_left is not None:
+            return self._body_bytes_left <= MAX_BODY_BYTES
+        codings = message.headers.getall('Transfer-Encoding', None)
+        return codings is None or (
+            len(codings) == 1 and codings[0].lower() == 'chunked'
+        )
+
     def _fail(self, reason: str) -> None:
         self.set_exception(ClientPayloadError(reason))
         self._close()
--- a/tests/gateway/test_exchanges.py
+++ b/tests/gateway/test_exchanges.py
@@ -33,6 +33,18 @@
         connection_end='close',
     ),
     'no length, reset': Reply(data=HEAD + b'\r\nabc', connection_end='reset'),
+    'huge length': Reply(
+        data=HEAD + b'Content-Length: 18446744073709551615\r\n\r\nabc',
+        connection_end='close',
+    ),
+    'another coding': Reply(
+        data=HEAD + b'Transfer-Encoding: gzip\r\n\r\nabc',
+        connection_end='close',
+    ),
+    'coded chunks': Reply(
+        data=HEAD
+        + b'Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n'
+    ),
     'another request': Reply(data=OK.replace(b'@ID@', b'other')),
     'no answer': Reply(data=b'garbage\r\n\r\n', connection_end='close'),
     'closed': Reply(data=b'', connection_end='close'),
--- a/tests/services/test_cut_answers.py
+++ b/tests/services/test_cut_answers.py
@@ -178,12 +178,19 @@
         LENGTH + b'Transfer-Encoding: chunked\r\n',
         b'Transfer-Encoding: chunked\r\n' + LENGTH,
         LENGTH + b'Transfer-Encoding: identity\r\n',
+        b'Content-Length: 18446744073709551615\r\n',
+        b'Transfer-Encoding: gzip\r\n',
+        b'Transfer-Encoding: xchunked\r\n',
+        b'Transfer-Encoding:\r\n',
+        b'Transfer-Encoding: chunked, gzip\r\n',
+        b'Transfer-Encoding: gzip, chunked\r\n',
+        b'Transfer-Encoding: chunked\r\n' * 2,
         b'Content-Len\x00gth: 12\r\n',
         b'X: a\r' + LENGTH,
     ],
 )
 @pytest.mark.parametrize('body', [BODY, CHUNKS + b'\r\n'])
-async def test_an_answer_whose_framing_contradicts_itself_is_none(lines, body):
+async def test_an_answer_without_a_clear_end_is_none(lines, body):
     for step in STEPS:
         result = await outcome(HEAD + lines + b'\r\n' + body, step, 'closed')
         assert is_error(result), step
--- a/tests/services/test_targets.py
+++ b/tests/services/test_targets.py
@@ -255,3 +255,17 @@
             Reply(data=data), head_timeout_s=20, read_timeout_s=20
         )
     assert isinstance(result, BrokenExchange)
+
+
+@pytest.mark.parametrize(
+    'line',
+    [
+        b'Content-Length: 18446744073709551615',
+        b'Transfer-Encoding: gzip',
+        b'Transfer-Encoding: gzip, chunked',
+    ],
+)
+async def test_an_answer_without_a_clear_end_is_broken(line):
+    data = HEAD + line + b'\r\n\r\n2\r\nok\r\n0\r\n\r\n'
+    result, _ = await exchange_with(Reply(data=data, connection_end='close'))
+    assert isinstance(result, BrokenExchange)
