Pass on no malformed head of an answer

An answer with status 099 was sent on as 'HTTP/1.1 99', and one with a control character in a header ended the caller's connection without an answer, though the target had run the request and a safe one could have gone on to another. A header with a space before its colon was passed on so: aiohttp frames the body by 'Transfer-Encoding : chunked', and callers that do the same would read it against the node's Content-Length and lose the order of the answers behind.

BoundedResponseHandler fails an answer whose head aiohttp can't send; names of headers are passed on without spaces, as RFC 9112 (5.1) asks of proxies.

--- a/carawaylane/gateway/target_messages.py
+++ b/carawaylane/gateway/target_messages.py
@@ -87,9 +87,10 @@
 def _forwarded_headers(message: Any) -> Headers:
     connection = message.headers.get('Connection', '').lower()
     hop_headers = {name.strip() for name in connection.split(',')}
+    # A target may put a space behind a name, which a proxy removes.
     return tuple(
         (name, value)
-        for name, value in message.headers.items()
-        if name.lower() not in HOP_BY_HOP_HEADERS
+        for spaced_name, value in message.headers.items()
+        if (name := spaced_name.rstrip()).lower() not in HOP_BY_HOP_HEADERS
         and name.lower() not in hop_headers
     )
--- a/carawaylane/services/response_handler.py
+++ b/carawaylane/services/response_handler.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from re import compile as re_compile
 from typing import TYPE_CHECKING, Any
 
 from aiohttp import ClientError, ClientPayloadError
@@ -25,6 +26,9 @@
 # Answers to other requests before an answer, and the bytes of their bodies.
 MAX_SKIPPED_ANSWERS = 16
 MAX_SKIPPED_BYTES = 128 << 10
+MIN_STATUS = 100
+# A value of a header holds none of these; a tab is allowed (RFC 9110, 5.5).
+_CONTROL_CHARACTER = re_compile(rb'[\x00-\x08\x0a-\x1f\x7f]')
 # Received data is parsed in parts of this size, since a part may hold hundreds
 # of messages, and the bounds are checked after each one.
 PART_BYTES = 8192
@@ -84,6 +88,9 @@
             return
         self._head_complete = True
         self._body_bytes_left = self._body_length(message)
+        if not _can_be_sent_on(message):
+            self._fail('a malformed head')
+            return
         if not self._has_clear_end(message):
             self._fail('an answer without a clear end')
             return
@@ -214,6 +221,13 @@
             self.transport.abort()
 
 
+def _can_be_sent_on(message: Any) -> bool:
+    """Return whether aiohttp accepts the status and headers to send them."""
+    return message.code >= MIN_STATUS and not any(
+        _CONTROL_CHARACTER.search(value) for _, value in message.raw_headers
+    )
+
+
 def _first_line(data: bytes, start: int, end: int) -> bytes:
     """Return a part of some data as far as its first line end."""
     line_end = data.find(b'\n', start, end)
--- a/carawaylane/services/targets.py
+++ b/carawaylane/services/targets.py
@@ -392,10 +392,10 @@
 
 def _answer_headers(resp: ClientResponse) -> Headers:
     # The client session does not decompress answers.
-    headers = [
+    # A target may put a space behind a name, which a proxy removes.
+    return tuple(
         (name, value)
-        for name, value in resp.headers.items()
-        if name.lower() not in HOP_BY_HOP_HEADERS
+        for spaced_name, value in resp.headers.items()
+        if (name := spaced_name.rstrip()).lower() not in HOP_BY_HOP_HEADERS
         or name.lower() == 'content-encoding'
-    ]
-    return tuple(headers)
+    )
--- a/tests/gateway/test_exchanges.py
+++ b/tests/gateway/test_exchanges.py
@@ -45,6 +45,8 @@
         data=HEAD
         + b'Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n'
     ),
+    'control character': Reply(data=OK.replace(b'Seal: s', b'Seal: \x01')),
+    'invalid status': Reply(data=OK.replace(b'200 OK', b'099 OK')),
     'another request': Reply(data=OK.replace(b'@ID@', b'other')),
     'no answer': Reply(data=b'garbage\r\n\r\n', connection_end='close'),
     'closed': Reply(data=b'', connection_end='close'),
@@ -104,6 +106,23 @@
     assert len(target.requests) == 1
 
 
+@pytest.mark.parametrize(
+    'framing',
+    [
+        b'Content-Length : 2\r\n\r\nok',
+        b'Transfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n',
+    ],
+)
+async def test_framing_with_a_space_before_the_colon_is_not_sent_on(
+    fleet, framing
+):
+    """Some callers read it as framing, beside that of the node."""
+    node, _ = await start_two_targets(fleet, [Reply(data=HEAD + framing)])
+    response = await fetch(node, '/write/x', method='POST', body=b'1')
+    assert (response.status, response.body) == (200, b'ok')
+    assert not [name for name in response.headers if name.endswith(' ')]
+
+
 async def test_an_answer_without_a_length_ends_with_the_connection(fleet):
     node, _ = await start_two_targets(
         fleet, [Reply(data=HEAD + b'\r\nabc', connection_end='close')]
--- a/tests/services/test_cut_answers.py
+++ b/tests/services/test_cut_answers.py
@@ -209,3 +209,17 @@
 async def test_no_reader_waits_for_an_answer_that_is_malformed(name):
     for step in STEPS:
         assert is_error(await outcome(MALFORMED[name], step, 'silent')), step
+
+
+@pytest.mark.parametrize(
+    'answer',
+    [
+        SIZED.replace(b'200', b'099'),
+        SIZED.replace(b'Seal: s', b'Seal: \x01'),
+        SIZED.replace(b'Seal: s', b'Seal: s\x7fs'),
+        SIZED.replace(b'\r\n\r\n', b'\r\nX: a\x0b\r\n\r\n'),
+    ],
+)
+async def test_an_answer_that_can_not_be_sent_on_is_none(answer):
+    for step in STEPS:
+        assert is_error(await outcome(answer, step, 'silent')), step
--- a/tests/services/test_targets.py
+++ b/tests/services/test_targets.py
@@ -269,3 +269,11 @@
     data = HEAD + line + b'\r\n\r\n2\r\nok\r\n0\r\n\r\n'
     result, _ = await exchange_with(Reply(data=data, connection_end='close'))
     assert isinstance(result, BrokenExchange)
+
+
+async def test_framing_with_a_space_before_the_colon_is_not_sent_on():
+    """Some callers read it as framing, beside that of the node."""
+    data = HEAD + b'Transfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n'
+    result, _ = await exchange_with(Reply(data=data))
+    assert result.body == b'ok'
+    assert [name for name, _ in result.headers] == ['Not-Used']
