--- a/standins/raw_target.py
+++ b/standins/raw_target.py
@@ -151,10 +151,7 @@
             # Lets the client read the answer; a reset discards what it has not
             # read yet.
             await sleep(0.05)
-            # With a linger time of 0, closing sends RST instead of FIN.
-            sock = writer.get_extra_info('socket')
-            sock.setsockopt(SOL_SOCKET, SO_LINGER, pack('ii', 1, 0))
-            writer.transport.abort()
+            reset(writer)
         return not reply.connection_end
 
     async def _send_endless(self, data: bytes, writer: StreamWriter) -> None:
@@ -184,3 +181,11 @@
         if line.lower().startswith(b'request-id:'):
             return line.partition(b':')[2].strip()
     return b''
+
+
+def reset(writer: StreamWriter) -> None:
+    """Reset a connection."""
+    # With a linger time of 0, closing sends RST instead of FIN.
+    sock = writer.get_extra_info('socket')
+    sock.setsockopt(SOL_SOCKET, SO_LINGER, pack('ii', 1, 0))
+    writer.transport.abort()
