--- a/carawaylane/services/response_handler.py
+++ b/carawaylane/services/response_handler.py
@@ -1,14 +1,16 @@
 """Protocol of a connection to a target that bounds what the target sends.
 
 aiohttp bounds a header line and what is buffered of a body, but neither the
-interim answers before an answer nor what follows it.
+interim answers before an answer nor what follows it. It also takes a body
+without a length for complete if the connection is reset.
 """
 
 from __future__ import annotations
 
+from re import compile as re_compile
 from typing import TYPE_CHECKING, Any
 
-from aiohttp import ClientPayloadError
+from aiohttp import ClientError, ClientPayloadError
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.helpers import EMPTY_BODY_STATUS_CODES
 
@@ -19,9 +21,14 @@
 # it. Servers and proxies limit a head to 8 to 64 KB.
 MAX_HEAD_BYTES = 128 << 10
 MAX_INTERIM_ANSWERS = 16
+# aiohttp takes some longer bodies for empty.
+MAX_BODY_BYTES = (1 << 63) - 1
 # Answers to other requests before an answer, and the bytes of their bodies.
 MAX_SKIPPED_ANSWERS = 16
 MAX_SKIPPED_BYTES = 128 << 10
+MIN_STATUS = 100
+# A value of a header holds none of these; a tab is allowed (RFC 9110, 5.5).
+_CONTROL_CHARACTER = re_compile(rb'[\x00-\x08\x0a-\x1f\x7f]')
 # Received data is parsed in parts of this size, since a part may hold hundreds
 # of messages, and the bounds are checked after each one.
 PART_BYTES = 8192
@@ -85,6 +92,12 @@
             return
         self._head_complete = True
         self._body_bytes_left = self._body_length(message)
+        if not _can_be_sent_on(message):
+            self._fail('a malformed head')
+            return
+        if not self._has_clear_end(message):
+            self._fail('an answer without a clear end')
+            return
         if (
             self._is_foreign is None
             or not self._is_foreign(message)
@@ -116,6 +129,28 @@
             if self._is_skipping:
                 self._skip(is_last=start == len(data))
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail a body that is cut off by a reset, with or without a length."""
+        if exc is not None:
+            self._fail_body(exc)
+        super().connection_lost(exc)
+
+    def set_exception(self, exc: BaseException, *args: Any) -> None:
+        """Fail the body that is being received, too.
+
+        aiohttp wakes nobody who reads a body that can't be parsed further.
+        """
+        super().set_exception(exc, *args)
+        self._fail_body(exc)
+
+    def _fail_body(self, exc: BaseException) -> None:
+        payload = self._payload
+        if payload is None or payload.is_eof() or payload.exception():
+            return
+        if not isinstance(exc, (ClientError, OSError)):
+            exc = ClientPayloadError(repr(exc))
+        payload.set_exception(exc)
+
     def _next_part(self, data: bytes, start: int) -> bytes:
         """Return the data to parse next: a line of a head, part of a body."""
         end = start + PART_BYTES
@@ -173,6 +208,18 @@
         text = message.headers.get('Content-Length', '')
         return int(text) if text.isdecimal() else None
 
+    def _has_clear_end(self, message: Any) -> bool:
+        """Return whether the framing of an answer is one that is understood.
+
+        With another coding than chunks, the body is not what was received.
+        """
+        if self._body_bytes_left is not None:
+            return self._body_bytes_left <= MAX_BODY_BYTES
+        codings = message.headers.getall('Transfer-Encoding', None)
+        return codings is None or (
+            len(codings) == 1 and codings[0].lower() == 'chunked'
+        )
+
     def _fail(self, reason: str) -> None:
         self.set_exception(ClientPayloadError(reason))
         self._close()
@@ -180,3 +227,10 @@
     def _close(self) -> None:
         if self.transport is not None:
             self.transport.abort()
+
+
+def _can_be_sent_on(message: Any) -> bool:
+    """Return whether aiohttp accepts the status and headers to send them."""
+    return message.code >= MIN_STATUS and not any(
+        _CONTROL_CHARACTER.search(value) for _, value in message.raw_headers
+    )
--- a/tests/gateway/test_exchanges.py
+++ b/tests/gateway/test_exchanges.py
@@ -4,7 +4,7 @@
 runs at most once.
 """
 
-from asyncio import Event, create_task
+from asyncio import Event, create_task, timeout
 from gzip import compress
 
 import pytest
@@ -33,6 +33,20 @@
         connection_end='close',
     ),
     'no length, reset': Reply(data=HEAD + b'\r\nabc', connection_end='reset'),
+    'huge length': Reply(
+        data=HEAD + b'Content-Length: 18446744073709551615\r\n\r\nabc',
+        connection_end='close',
+    ),
+    'another coding': Reply(
+        data=HEAD + b'Transfer-Encoding: gzip\r\n\r\nabc',
+        connection_end='close',
+    ),
+    'coded chunks': Reply(
+        data=HEAD
+        + b'Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n'
+    ),
+    'control character': Reply(data=OK.replace(b'Seal: s', b'Seal: \x01')),
+    'invalid status': Reply(data=OK.replace(b'200 OK', b'099 OK')),
     'another request': Reply(data=OK.replace(b'@ID@', b'other')),
     'no answer': Reply(data=b'garbage\r\n\r\n', connection_end='close'),
     'closed': Reply(data=b'', connection_end='close'),
@@ -80,6 +94,35 @@
     assert len(received) == 2
 
 
+async def test_no_caller_waits_for_an_answer_that_is_malformed(fleet):
+    bad_chunks = HEAD + b'Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\nzz\r\n'
+    routes = [route_spec('write', '/write/', kind='unsafe', timeout_ms=20000)]
+    fleet.store.put('config', 'main', plan_spec(routes=routes))
+    target = await fleet.start_target('i-1', lambda *_: Reply(data=bad_chunks))
+    node = await fleet.start_node('n1')
+    async with timeout(5):
+        response = await fetch(node, '/write/x', method='POST', body=b'1')
+    assert response.status in (502, 504)
+    assert len(target.requests) == 1
+
+
+@pytest.mark.parametrize(
+    'framing',
+    [
+        b'Content-Length : 2\r\n\r\nok',
+        b'Transfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n',
+    ],
+)
+async def test_framing_with_a_space_before_the_colon_is_not_sent_on(
+    fleet, framing
+):
+    """Some callers read it as framing, beside that of the node."""
+    node, _ = await start_two_targets(fleet, [Reply(data=HEAD + framing)])
+    response = await fetch(node, '/write/x', method='POST', body=b'1')
+    assert (response.status, response.body) == (200, b'ok')
+    assert not [name for name in response.headers if name.endswith(' ')]
+
+
 async def test_an_answer_without_a_length_ends_with_the_connection(fleet):
     node, _ = await start_two_targets(
         fleet, [Reply(data=HEAD + b'\r\nabc', connection_end='close')]
--- a/tests/services/test_targets.py
+++ b/tests/services/test_targets.py
@@ -3,7 +3,7 @@
 An unsafe request reaches a target at most once.
 """
 
-from asyncio import gather, sleep, start_server
+from asyncio import gather, sleep, start_server, timeout
 
 import pytest
 from attrs import evolve
@@ -16,6 +16,7 @@
     RefusedByTarget,
     StreamedAnswer,
     TargetClient,
+    TruncatedError,
 )
 from standins.raw_target import RawTarget, Reply
 
@@ -202,3 +203,77 @@
         assert await client.probe('/health', 1.0)
         await client.close()
     assert len(target.requests) == 2
+
+
+async def exchange_with(reply, **changes):
+    """Return the result of an exchange, and the body read after it."""
+    target = RawTarget(plan=lambda *_: reply)
+    options = evolve(OPTIONS, **changes)
+    async with await start_server(target.serve, '127.0.0.1', 0) as server:
+        port = server.sockets[0].getsockname()[1]
+        client = TargetClient(address=f'127.0.0.1:{port}')
+        result = await client.exchange(REQUEST, options, new_connection=True)
+        body = b''
+        try:
+            if isinstance(result, StreamedAnswer):
+                body = b''.join([data async for data in result.rest])
+        except TruncatedError as exc:
+            return exc, b''
+        finally:
+            await client.close()
+    return result, body
+
+
+NO_LENGTH = HEAD + b'\r\n' + b'x' * 1000
+
+
+@pytest.mark.parametrize('data', [HEAD + b'\r\n', NO_LENGTH])
+async def test_an_answer_without_a_length_that_is_reset_is_broken(data):
+    result, _ = await exchange_with(Reply(data=data, connection_end='reset'))
+    assert isinstance(result, BrokenExchange)
+
+
+async def test_a_streamed_answer_without_a_length_that_is_reset_is_cut():
+    result, _ = await exchange_with(
+        Reply(data=NO_LENGTH, connection_end='reset'), max_buffered_bytes=100
+    )
+    assert isinstance(result, TruncatedError)
+
+
+async def test_an_answer_without_a_length_that_ends_by_closing_is_whole():
+    reply = Reply(data=NO_LENGTH, connection_end='close')
+    result, _ = await exchange_with(reply)
+    assert result.body == b'x' * 1000
+    result, rest = await exchange_with(reply, max_buffered_bytes=100)
+    assert result.body + rest == b'x' * 1000
+
+
+async def test_no_exchange_waits_for_an_answer_that_is_malformed():
+    data = HEAD + b'Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\nzz\r\n'
+    async with timeout(2):
+        result, _ = await exchange_with(
+            Reply(data=data), head_timeout_s=20, read_timeout_s=20
+        )
+    assert isinstance(result, BrokenExchange)
+
+
+@pytest.mark.parametrize(
+    'line',
+    [
+        b'Content-Length: 18446744073709551615',
+        b'Transfer-Encoding: gzip',
+        b'Transfer-Encoding: gzip, chunked',
+    ],
+)
+async def test_an_answer_without_a_clear_end_is_broken(line):
+    data = HEAD + line + b'\r\n\r\n2\r\nok\r\n0\r\n\r\n'
+    result, _ = await exchange_with(Reply(data=data, connection_end='close'))
+    assert isinstance(result, BrokenExchange)
+
+
+async def test_framing_with_a_space_before_the_colon_is_not_sent_on():
+    """Some callers read it as framing, beside that of the node."""
+    data = HEAD + b'Transfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n'
+    result, _ = await exchange_with(Reply(data=data))
+    assert result.body == b'ok'
+    assert [name for name, _ in result.headers] == ['Not-Used']
