Wake the reader of a body that can't be parsed

Callers saw: an answer whose chunked body goes wrong in the middle was held until the deadline of its request (node), and without end in carawayd, whose timeout of reads ends with the connection.

Cause: aiohttp's C parser drops the body as it fails, and the protocol sets the error on its queue of answers only, so the task that reads the body waits for a future that nobody sets. The protocol now passes the error to the body.

test_response_handler.py::test_a_reader_learns_at_once: 1 of 2 cases failed (TimeoutError after 1 s) before, both pass after.

--- a/carawaylane/services/response_handler.py
+++ b/carawaylane/services/response_handler.py
@@ -8,8 +8,9 @@
 
 from typing import TYPE_CHECKING, Any
 
-from aiohttp import ClientPayloadError
+from aiohttp import ClientError, ClientPayloadError
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.helpers import _EXC_SENTINEL as NO_CAUSE
 from aiohttp.helpers import EMPTY_BODY_STATUS_CODES
 
 if TYPE_CHECKING:
@@ -165,6 +166,21 @@
         text = message.headers.get('Content-Length', '')
         return int(text) if text.isdecimal() else None
 
+    def set_exception(
+        self, exc: BaseException, exc_cause: BaseException = NO_CAUSE
+    ) -> None:
+        """Fail the answer; aiohttp leaves the reader of its body waiting."""
+        super().set_exception(exc, exc_cause)
+        payload = self._payload
+        if (
+            payload is not None
+            and not payload.is_eof()
+            and payload.exception() is None
+        ):
+            if not isinstance(exc, ClientError):
+                exc = ClientPayloadError(str(exc))
+            payload.set_exception(exc)
+
     def _fail(self, reason: str) -> None:
         self.set_exception(ClientPayloadError(reason))
         self._close()
--- a/tests/services/test_response_handler.py
+++ b/tests/services/test_response_handler.py
@@ -1,6 +1,6 @@
 """Tests of the bounds on what a target sends over a connection."""
 
-from asyncio import Transport, get_running_loop
+from asyncio import Transport, create_task, get_running_loop, sleep, timeout
 
 import pytest
 from aiohttp import ClientError
@@ -159,3 +159,25 @@
     with pytest.raises((ClientError, HttpProcessingError)):
         await read_final(handler)
     assert not handler.is_connected()
+
+
+CHUNKED_HEAD = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+
+
+@pytest.mark.parametrize(
+    'broken',
+    [b'zz\r\n', b'0\r\n' + b'T: 1\r\n' * 1000],
+    ids=['size', 'trailers'],
+)
+async def test_a_reader_learns_at_once_that_a_body_can_not_be_parsed(broken):
+    handler = connect()
+    receive(handler, CHUNKED_HEAD + b'2\r\nok\r\n', 100)
+    _, payload = await handler.read()
+    assert await payload.read(100) == b'ok'
+    reading = create_task(payload.read(100))
+    await sleep(0)
+    handler.data_received(broken)
+    handler.connection_lost(None)
+    with pytest.raises(ClientError):
+        async with timeout(1):
+            await reading
