Break off a chunked body whose framing has no end

Cause: the size of an answer was checked as a piece of its body was read. Chunk sizes with leading zeros, spaces after them, chunk extensions and trailers bring no piece. The protocol now counts what arrives between two pieces, and breaks the answer off above 32 KB; what arrives while the reader rests is not counted, as aiohttp has not parsed it.

The cases of endless answers now also require an end long before the deadline.

--- a/carawaylane/services/response_handler.py
+++ b/carawaylane/services/response_handler.py
@@ -23,6 +23,9 @@
 # Answers to other requests before an answer, and the bytes of their bodies.
 MAX_SKIPPED_ANSWERS = 16
 MAX_SKIPPED_BYTES = 128 << 10
+# Bytes of a chunked body without data in between: chunk sizes with their
+# extensions, and trailers.
+MAX_FRAMING_BYTES = 32 << 10
 # Received data is parsed in parts of this size, since a part may hold hundreds
 # of messages, and the bounds are checked after each one.
 PART_BYTES = 8192
@@ -44,6 +47,10 @@
         self._head_complete = False
         # Bytes that are left of a body with a length.
         self._body_bytes_left: int | None = None
+        # What has been parsed of a body without one, and the bytes received
+        # until then.
+        self._parsed_bytes = 0
+        self._received_bytes = 0
         self._is_foreign: Callable[[Any], bool] | None = None
         self.skipped_answers = 0
         self._skipped_bytes = 0
@@ -64,6 +71,8 @@
         self._interim_answers = 0
         self._head_complete = False
         self._body_bytes_left = None
+        self._parsed_bytes = 0
+        self._received_bytes = 0
         self._is_skipping = False
 
     def skip_answers(self, is_foreign: Callable[[Any], bool]) -> None:
@@ -104,8 +113,11 @@
             part = self._next_part(data, start)
             start += len(part)
             super().data_received(part)
-            if not self._head_complete and self._head_too_long():
-                self._fail('the head is too long')
+            if not self._head_complete:
+                if self._head_too_long():
+                    self._fail('the head is too long')
+            elif self._body_bytes_left is None and self._framing_too_long():
+                self._fail('the framing of a body is too long')
             if self._is_skipping:
                 self._skip(len(part))
 
@@ -150,6 +162,16 @@
             or self._interim_answers > MAX_INTERIM_ANSWERS
         )
 
+    def _framing_too_long(self) -> bool:
+        payload = self._payload
+        if payload is None or self._reading_paused:
+            # While the reader rests, what arrives is not parsed.
+            return False
+        if payload.total_bytes != self._parsed_bytes:
+            self._parsed_bytes = payload.total_bytes
+            self._received_bytes = self.body_bytes
+        return self.body_bytes - self._received_bytes > MAX_FRAMING_BYTES
+
     def _answer_complete(self) -> bool:
         if not self._head_complete:
             return False
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -1,6 +1,7 @@
 """Tests of targets whose answers do not end until the node closes."""
 
 from asyncio import gather
+from time import monotonic
 
 import pytest
 
@@ -34,6 +35,18 @@
         endless=b'1\r\nx\r\n',
     ),
 }
+CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+ENDLESS_FRAMING = {
+    'a chunk size of zeros': Reply(data=CHUNKED, endless=b'0' * 1000),
+    'spaces after a chunk size': Reply(
+        data=CHUNKED + b'1', endless=b' ' * 1000
+    ),
+    'a chunk extension': Reply(data=CHUNKED + b'1;a=', endless=b'x' * 1000),
+    'trailers': Reply(data=CHUNKED + b'0\r\n', endless=b'T: 1\r\n'),
+    'long trailers': Reply(
+        data=CHUNKED + b'0\r\n', endless=b'T: ' + b'\xff' * 60000 + b'\r\n'
+    ),
+}
 AFTER_ANSWERS = {
     'answers after the answer': Reply(data=OK, endless=OK),
     'bytes after the answer': Reply(data=OK, endless=b'x' * 1000),
@@ -43,11 +56,15 @@
 MAX_HEAD_BYTES, MAX_BODY_BYTES, SOCKET_BYTES = 1 << 20, 16 << 20, 12 << 20
 MAX_ALL_BYTES = 128 << 20
 CALLERS = 20
+# Long enough that only a limit on the bytes ends an answer.
+TIMEOUT_S = 20
 
 
 async def start_node(fleet, reply):
-    # Long enough that only a limit on the bytes ends an answer.
-    routes = [route_spec('write', '/write/', kind='unsafe', timeout_ms=20000)]
+    timeout_ms = 1000 * TIMEOUT_S
+    routes = [
+        route_spec('write', '/write/', kind='unsafe', timeout_ms=timeout_ms)
+    ]
     fleet.store.put('config', 'main', plan_spec(routes=routes))
     target = await fleet.start_target(
         'i-1', lambda *_: reply, slots=CALLERS + 1
@@ -61,16 +78,19 @@
     [
         *((reply, MAX_HEAD_BYTES, 504) for reply in ENDLESS_HEADS.values()),
         *((reply, MAX_BODY_BYTES, 504) for reply in ENDLESS_BODIES.values()),
+        *((reply, MAX_HEAD_BYTES, 504) for reply in ENDLESS_FRAMING.values()),
         *((reply, MAX_HEAD_BYTES, 200) for reply in AFTER_ANSWERS.values()),
     ],
-    ids=[*ENDLESS_HEADS, *ENDLESS_BODIES, *AFTER_ANSWERS],
+    ids=[*ENDLESS_HEADS, *ENDLESS_BODIES, *ENDLESS_FRAMING, *AFTER_ANSWERS],
 )
 async def test_an_answer_without_end_is_cut_off(
     fleet, reply, max_bytes, status
 ):
     node, target = await start_node(fleet, reply)
+    started_at_s = monotonic()
     response = await fetch(node, '/write/x', method='POST')
     assert response.status == status
+    assert monotonic() - started_at_s < TIMEOUT_S / 2
     await fleet.wait_until(lambda: target.endless_bytes)
     assert target.endless_bytes[0] <= max_bytes + SOCKET_BYTES
 
--- a/tests/services/test_response_handler.py
+++ b/tests/services/test_response_handler.py
@@ -1,5 +1,6 @@
 """Tests of the bounds on what a target sends over a connection."""
 
+import tracemalloc
 from asyncio import Transport, create_task, get_running_loop, sleep, timeout
 
 import pytest
@@ -7,6 +8,7 @@
 from aiohttp.http_exceptions import HttpProcessingError
 
 from carawaylane.services.response_handler import (
+    MAX_FRAMING_BYTES,
     MAX_INTERIM_ANSWERS,
     MAX_SKIPPED_ANSWERS,
     MAX_SKIPPED_BYTES,
@@ -18,6 +20,7 @@
     b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
     b'2\r\nok\r\n0\r\n\r\n'
 )
+READ_BUFFER_BYTES = 256 << 10
 INTERIM = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -162,6 +165,76 @@
 
 
 CHUNKED_HEAD = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+LONG_TRAILER = b'T: ' + b'\xff' * 60000 + b'\r\n'
+ENDLESS_FRAMING = {
+    'chunk size': (b'', b'0'),
+    'chunk size line': (b'1', b' '),
+    'chunk extension': (b'1;a=', b'x'),
+    'trailers': (b'0\r\n', LONG_TRAILER),
+    'trailer': (b'0\r\nT: ', b'x'),
+}
+
+
+def connect_long(**params):
+    """Return a handler with the longest header lines that are accepted."""
+    return connect(max_line_size=65536, max_field_size=65536, **params)
+
+
+@pytest.mark.parametrize('step', [7, 100000])
+@pytest.mark.parametrize('framing', ENDLESS_FRAMING)
+async def test_framing_without_end_breaks_a_chunked_body(framing, step):
+    first, piece = ENDLESS_FRAMING[framing]
+    handler = connect_long()
+    receive(handler, CHUNKED_HEAD + b'2\r\nok\r\n' + first, step)
+    _, payload = await handler.read()
+    assert await payload.read(100) == b'ok'
+    receive(handler, piece * (2 * MAX_FRAMING_BYTES // len(piece)), step)
+    assert not handler.is_connected()
+    assert handler.should_close
+    handler.connection_lost(None)
+    with pytest.raises(ClientError):
+        async with timeout(1):
+            await payload.read(100)
+
+
+async def test_trailers_that_stop_short_of_the_limit_take_little_memory():
+    handler = connect_long()
+    tracemalloc.start()
+    try:
+        receive(handler, CHUNKED_HEAD + b'0\r\n', 100)
+        for _ in range(100):
+            handler.data_received(LONG_TRAILER)
+        assert tracemalloc.get_traced_memory()[1] < 1 << 20
+    finally:
+        tracemalloc.stop()
+
+
+@pytest.mark.parametrize('size', [1, 1000, 8192, 20000])
+async def test_a_long_chunked_body_is_read_whole(size):
+    handler = connect()
+    count = 2 * MAX_FRAMING_BYTES
+    chunk = b'%08x;name=value\r\n%s\r\n' % (size, b'x' * size)
+    handler.data_received(CHUNKED_HEAD)
+    _, payload = await handler.read()
+    data = chunk * (count // len(chunk) + 1) + b'0\r\nT: 1\r\n\r\n'
+    handler.data_received(data)
+    body = await payload.read()
+    assert body == b'x' * (size * (count // len(chunk) + 1))
+    assert handler.is_connected()
+    assert not handler.should_close
+
+
+async def test_bytes_that_arrive_while_the_reader_rests_are_no_framing():
+    handler = connect()
+    count = 4 * READ_BUFFER_BYTES // 1000
+    handler.data_received(
+        CHUNKED_HEAD + b'3e8\r\n%s\r\n' % (b'x' * 1000) * count
+    )
+    assert handler.is_connected()
+    handler.data_received(b'0\r\n\r\n')
+    _, payload = await handler.read()
+    assert len(await payload.read()) == 1000 * count
+    assert not handler.should_close
 
 
 @pytest.mark.parametrize(
--- a/tests/services/test_targets.py
+++ b/tests/services/test_targets.py
@@ -100,6 +100,7 @@
 
 
 HEAD = b'HTTP/1.1 200 OK\r\nNot-Used: 1\r\n'
+CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
 # What a client has not read stays in the socket buffers.
 MAX_TAKEN_BYTES = 16 << 20
 
@@ -121,8 +122,18 @@
             StreamedAnswer,
         ),
         (Reply(endless=b'x' * 1000), CompleteAnswer),
+        (Reply(data=CHUNKED + b'1;a=', endless=b'x' * 1000), BrokenExchange),
+        (Reply(data=CHUNKED + b'0\r\n', endless=b'T: 1\r\n'), BrokenExchange),
+    ],
+    ids=[
+        'interim answers',
+        'header lines',
+        'body',
+        'small chunks',
+        'extra',
+        'chunk extension',
+        'trailers',
     ],
-    ids=['interim answers', 'header lines', 'body', 'small chunks', 'extra'],
 )
 @pytest.mark.parametrize('unsafe', [False, True])
 async def test_little_is_taken_of_an_answer_without_end(
