Read numbers of thousands of digits in the heads of answers

Callers saw: a sound answer ended as unknown (safe: was asked again) if its Content-Length had thousands of leading zeros, or its Keep-Alive header a timeout of hundreds of digits. The error left the protocol, or the exchange.

Cause: aiohttp lets a header line of 64 KB pass, and int() refuses more than 4,300 digits, a product with a float more than 308.

gateway/test_endless_answers.py::test_a_number_of_thousands_of_digits: 3 of 3 cases failed before, and the one in services/test_response_handler.py; all pass after.

--- a/carawaylane/gateway/exchanges.py
+++ b/carawaylane/gateway/exchanges.py
@@ -26,6 +26,7 @@
 from carawaylane.kernel.service import Service, service
 from carawaylane.kernel.timeouts import ReplyTimeout
 from carawaylane.platform.headers import answered_ids, is_refusal
+from carawaylane.services.response_handler import content_length
 from carawaylane.services.targets import (
     LIVENESS_OPEN_S,
     BrokenExchange,
@@ -258,13 +259,12 @@
         self, message: Any, request: OutgoingRequest
     ) -> int | None:
         """Return up to which size an answer is read whole, None if any."""
-        length = message.headers.get('Content-Length', '')
         if (
             not request.streams
             or request.holding is None
             or message.code >= MIN_SERVER_ERROR_STATUS
             # Without either, a broken body may look complete.
-            or not (message.chunked or length.isdecimal())
+            or (not message.chunked and content_length(message) is None)
         ):
             return None
         return request.holding.budget.buffer_limit()
@@ -273,12 +273,11 @@
         self, message: Any, body: _PartialBody, request: OutgoingRequest
     ) -> AnswerStream:
         assert request.holding is not None
-        length = message.headers.get('Content-Length', '')
         return AnswerStream(
             payload=body.payload,
             chunks=body.chunks,
             pending=body.pending,
-            length=int(length) if length.isdecimal() else None,
+            length=content_length(message),
             holding=request.holding,
         )
 
--- a/carawaylane/gateway/target_connections.py
+++ b/carawaylane/gateway/target_connections.py
@@ -31,7 +31,7 @@
 # The operating system closes a connection if sent data stays unacknowledged
 # for this long, which means that the network path is dead.
 UNACKNOWLEDGED_TIMEOUT_MS = 5000
-_KEEP_ALIVE_TIMEOUT_PATTERN = re_compile(r'timeout=(\d+)')
+_KEEP_ALIVE_TIMEOUT_PATTERN = re_compile(r'timeout=0*(\d{1,6})')
 
 
 class ResponseHandler(BoundedResponseHandler):
--- a/carawaylane/services/response_handler.py
+++ b/carawaylane/services/response_handler.py
@@ -185,8 +185,7 @@
             return 0
         if message.chunked:
             return None
-        text = message.headers.get('Content-Length', '')
-        return int(text) if text.isdecimal() else None
+        return content_length(message)
 
     def set_exception(
         self, exc: BaseException, exc_cause: BaseException = NO_CAUSE
@@ -216,3 +215,10 @@
     """Return a part of some data as far as its first line end."""
     line_end = data.find(b'\n', start, end)
     return data[start : line_end + 1 if line_end >= 0 else end]
+
+
+def content_length(message: Any) -> int | None:
+    """Return the length that an answer states for its body, if any."""
+    text = message.headers.get('Content-Length', '')
+    # The parser lets thousands of zeros pass, which `int` does not convert.
+    return int(text.lstrip('0') or '0') if text.isdecimal() else None
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -129,3 +129,20 @@
     )
     statuses = [response.status for response in responses]
     assert statuses == [504, 200] * CALLERS
+
+
+ODD_HEADERS = {
+    'zeros': b'Content-Length: ' + b'0' * 5000 + b'2\r\n',
+    'timeout': b'Content-Length: 2\r\nKeep-Alive: timeout=%s\r\n'
+    % (b'9' * 5000),
+    'long timeout': b'Content-Length: 2\r\nKeep-Alive: timeout=%s\r\n'
+    % (b'9' * 400),
+}
+
+
+@pytest.mark.parametrize('lines', ODD_HEADERS)
+async def test_a_number_of_thousands_of_digits_breaks_no_answer(fleet, lines):
+    reply = Reply(data=HEAD + ODD_HEADERS[lines] + b'\r\nok')
+    node, _ = await start_node(fleet, reply)
+    response = await fetch(node, '/write/x', method='POST')
+    assert (response.status, response.body) == (200, b'ok')
--- a/tests/services/test_response_handler.py
+++ b/tests/services/test_response_handler.py
@@ -254,3 +254,11 @@
     with pytest.raises(ClientError):
         async with timeout(1):
             await reading
+
+
+async def test_a_content_length_with_thousands_of_zeros_is_a_length():
+    handler = connect_long()
+    zeros = b'0' * 5000
+    handler.data_received(ANSWER.replace(b': 2', b': ' + zeros + b'2'))
+    assert (await read_final(handler))[1] == b'ok'
+    assert handler.is_connected()
