End an exchange whose target switches protocols

Callers saw: no answer until the deadline if a target said 101 and then sent on, or sent nothing (carawayd passed the 101 on). What followed was kept, as was what a target sent on a connection before any request, up to 256 KB each.

Cause: aiohttp keeps what follows a 101, and what comes before the first request, for a parser that is set later. No request here asks for another protocol, so the exchange breaks and its connection is closed; so is one on which a target sends before it is asked.

Failed before, pass after: 3 cases in test_response_handler.py, 1 of 3 in gateway/test_endless_answers.py (20 s, the deadline).

--- a/carawaylane/services/response_handler.py
+++ b/carawaylane/services/response_handler.py
@@ -20,6 +20,7 @@
 # it. Servers and proxies limit a head to 8 to 64 KB.
 MAX_HEAD_BYTES = 128 << 10
 MAX_INTERIM_ANSWERS = 16
+SWITCHING_PROTOCOLS = 101
 # Answers to other requests before an answer, and the bytes of their bodies.
 MAX_SKIPPED_ANSWERS = 16
 MAX_SKIPPED_BYTES = 128 << 10
@@ -85,7 +86,11 @@
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Take a parsed head, with the reader of its body."""
         message, _ = data
-        if 100 <= message.code < 200 and message.code != 101:
+        if message.code == SWITCHING_PROTOCOLS:
+            # No request asks for another protocol.
+            self._fail('a switch of protocols')
+            return
+        if 100 <= message.code < 200:
             self._interim_answers += 1
             super().feed_data(data, size)
             return
@@ -101,9 +106,14 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received data as far as it belongs to an answer."""
-        if not data or self._upgraded:
+        if not data:
             super().data_received(data)
             return
+        if self._parser is None:
+            # Nothing has been asked yet.
+            self.force_close()
+            self._close()
+            return
         start = 0
         while start < len(data) and self.is_connected():
             if self._answer_complete():
@@ -125,7 +135,7 @@
         """Return the data to parse next: a line of a head, part of a body."""
         end = start + PART_BYTES
         if not self._head_complete:
-            part = _first_line(data, start, end)
+            part = self._first_line(data, start, end)
             self._head_bytes += len(part)
             return part
         if self._body_bytes_left is not None:
@@ -133,12 +143,19 @@
             self._body_bytes_left -= len(part)
         elif self._is_skipping:
             # The last chunk ends with a line, behind which an answer follows.
-            part = _first_line(data, start, end)
+            part = self._first_line(data, start, end)
         else:
             part = data[start:end]
         self.body_bytes += len(part)
         return part
 
+    def _first_line(self, data: bytes, start: int, end: int) -> bytes:
+        """Return a part of some data as far as its first line end."""
+        line_end = data.find(b'\n', start, end)
+        if line_end < 0:
+            return data[start:end]
+        return data[start : line_end + 1]
+
     def _skip(self, size: int) -> None:
         """Drop what has arrived of an answer to another request."""
         if not self.is_connected():
@@ -211,12 +228,6 @@
             self.transport.abort()
 
 
-def _first_line(data: bytes, start: int, end: int) -> bytes:
-    """Return a part of some data as far as its first line end."""
-    line_end = data.find(b'\n', start, end)
-    return data[start : line_end + 1 if line_end >= 0 else end]
-
-
 def content_length(message: Any) -> int | None:
     """Return the length that an answer states for its body, if any."""
     text = message.headers.get('Content-Length', '')
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -35,6 +35,19 @@
         endless=b'1\r\nx\r\n',
     ),
 }
+SWITCH = (
+    b'HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\n'
+    b'Upgrade: websocket\r\n'
+)
+ENDLESS_HEADS |= {
+    'another protocol': Reply(data=SWITCH + b'\r\n', endless=b'x' * 1000),
+    'another protocol, later': Reply(
+        data=SWITCH + b'\r\n', after=b'x', endless=b'x' * 1000
+    ),
+    '101 without a protocol': Reply(
+        data=b'HTTP/1.1 101 OK\r\n\r\n', endless=b'x' * 1000
+    ),
+}
 CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
 ENDLESS_FRAMING = {
     'a chunk size of zeros': Reply(data=CHUNKED, endless=b'0' * 1000),
--- a/tests/services/test_response_handler.py
+++ b/tests/services/test_response_handler.py
@@ -256,6 +256,33 @@
             await reading
 
 
+SWITCH = (
+    b'HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\n'
+    b'Upgrade: websocket\r\n\r\n'
+)
+
+
+@pytest.mark.parametrize('step', [7, 100000])
+async def test_a_switch_of_protocols_breaks_the_answer_and_keeps_nothing(step):
+    handler = connect()
+    receive(handler, SWITCH, step)
+    assert not handler.is_connected()
+    handler.data_received(b'x' * 100000)
+    assert not handler._tail
+    with pytest.raises(ClientError):
+        async with timeout(1):
+            await handler.read()
+
+
+async def test_bytes_before_any_request_close_a_connection():
+    handler = BoundedResponseHandler(get_running_loop())
+    handler.connection_made(FakeTransport())
+    handler.data_received(b'x' * 100000)
+    assert not handler.is_connected()
+    assert handler.should_close
+    assert not handler._tail
+
+
 async def test_a_content_length_with_thousands_of_zeros_is_a_length():
     handler = connect_long()
     zeros = b'0' * 5000
