Bound the lines of an answer that are parsed one by one

Cause: a head is parsed line by line, to check its bounds after each message, and 128 KB can be 128 thousand lines.

test_response_handler.py::test_few_lines_are_parsed_one_by_one: 2 of 2 failed before, both pass after.

--- a/carawaylane/services/response_handler.py
+++ b/carawaylane/services/response_handler.py
@@ -27,6 +27,9 @@
 # Bytes of a chunked body without data in between: chunk sizes with their
 # extensions, and trailers.
 MAX_FRAMING_BYTES = 32 << 10
+# Lines of heads, and of answers that are skipped, each of which takes a call
+# of the parser.
+MAX_LINES = 8192
 # Received data is parsed in parts of this size, since a part may hold hundreds
 # of messages, and the bounds are checked after each one.
 PART_BYTES = 8192
@@ -55,6 +58,8 @@
         self._is_foreign: Callable[[Any], bool] | None = None
         self.skipped_answers = 0
         self._skipped_bytes = 0
+        # Lines that were parsed one by one since the request.
+        self._lines = 0
         # Whether the answer that is being received is skipped.
         self._is_skipping = False
 
@@ -64,6 +69,7 @@
         self._is_foreign = None
         self.skipped_answers = 0
         self._skipped_bytes = 0
+        self._lines = 0
         super().set_response_params(**params)
 
     def _expect_head(self) -> None:
@@ -123,7 +129,9 @@
             part = self._next_part(data, start)
             start += len(part)
             super().data_received(part)
-            if not self._head_complete:
+            if self._lines > MAX_LINES:
+                self._fail('too many lines')
+            elif not self._head_complete:
                 if self._head_too_long():
                     self._fail('the head is too long')
             elif self._body_bytes_left is None and self._framing_too_long():
@@ -154,6 +162,7 @@
         line_end = data.find(b'\n', start, end)
         if line_end < 0:
             return data[start:end]
+        self._lines += 1
         return data[start : line_end + 1]
 
     def _skip(self, size: int) -> None:
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -40,6 +40,7 @@
     b'Upgrade: websocket\r\n'
 )
 ENDLESS_HEADS |= {
+    'empty lines': Reply(data=b'', endless=b'\n' * 1000),
     'another protocol': Reply(data=SWITCH + b'\r\n', endless=b'x' * 1000),
     'another protocol, later': Reply(
         data=SWITCH + b'\r\n', after=b'x', endless=b'x' * 1000
--- a/tests/services/test_response_handler.py
+++ b/tests/services/test_response_handler.py
@@ -10,6 +10,7 @@
 from carawaylane.services.response_handler import (
     MAX_FRAMING_BYTES,
     MAX_INTERIM_ANSWERS,
+    MAX_LINES,
     MAX_SKIPPED_ANSWERS,
     MAX_SKIPPED_BYTES,
     BoundedResponseHandler,
@@ -283,6 +284,31 @@
     assert not handler._tail
 
 
+LINES = {
+    'empty lines': b'\n' * 100000,
+    'skipped chunks': CHUNKED_HEAD.replace(b'OK\r\n', b'OK\r\nId: y\r\n')
+    + b'1\r\nx\r\n' * 20000,
+}
+
+
+@pytest.mark.parametrize('lines', LINES)
+async def test_few_lines_are_parsed_one_by_one(lines):
+    handler = connect_skipping()
+    parts = []
+    parse = handler._parser.feed_data
+
+    class CountingParser:
+        def feed_data(self, data):
+            if data:
+                parts.append(data)
+            return parse(data)
+
+    handler._parser = CountingParser()
+    handler.data_received(LINES[lines])
+    assert not handler.is_connected()
+    assert len(parts) <= MAX_LINES + 1
+
+
 async def test_a_content_length_with_thousands_of_zeros_is_a_length():
     handler = connect_long()
     zeros = b'0' * 5000
