Bound the answers of the platform's store

A store whose answer does not end, in its body or from page to page, was read into memory until the call's time was up (up to 10.7 s for a watch) or, page by page, without end. Callers would see the node end with its memory.

Cause: the clients read bodies whole and lists to their last page, without a bound. Too much counts as an outage of the store, in which copies are kept.

--- a/carawaylane/platform/objects.py
+++ b/carawaylane/platform/objects.py
@@ -10,7 +10,6 @@
     ClientSession,
     ClientTimeout,
     DummyCookieJar,
-    TCPConnector,
 )
 from attrs import evolve, frozen
 
@@ -28,6 +27,7 @@
     decode_in_steps,
     encode_in_steps,
 )
+from carawaylane.storage.answers import bounded_connector, read_answer
 from carawaylane.storage.driver import Unavailable
 
 if TYPE_CHECKING:
@@ -36,6 +36,10 @@
 # A healthy store answers within milliseconds, but a slow one is still used.
 CALL_TIMEOUT_S = 1.5
 CONNECT_TIMEOUT_S = 0.5
+KEEPALIVE_S = 5.0
+# Bytes of all objects of a list, and what each object takes at least.
+MAX_LIST_BYTES = 32 << 20
+OBJECT_BYTES = 256
 # Configurations above this size are decoded in steps.
 LARGE_BODY_BYTES = 32 << 10
 # Time for the answer to a watch, added to the wait that the watch asks for.
@@ -78,6 +82,7 @@
         """Return all objects of a kind, which the store lists page by page."""
         items: list[StoredObject] = []
         after = ''
+        size = 0
         revision = 0
         eras: set[int] = set()
         while True:
@@ -92,12 +97,18 @@
             if len(eras) > 1:
                 return Unavailable(reason='restored during the list')
             try:
-                items += await run_in_steps(_parse_items(page['items'], era))
+                parsed = await run_in_steps(_parse_items(page['items'], era))
+                items += parsed
+                size += sum(map(_size, parsed))
+                if size > MAX_LIST_BYTES:
+                    return Unavailable(reason='the list is too large')
                 # The revision of the first page: a watch from there returns
                 # the changes that were made while later pages were fetched.
                 revision = revision or combine(era, page['current_rev'])
                 if not page.get('more') or not items:
                     return ObjectDelta(items=tuple(items), revision=revision)
+                if not parsed or items[-1].name == after:
+                    return Unavailable(reason='a page brings no new object')
                 after = items[-1].name
             except (KeyError, TypeError, AttributeError) as exc:
                 return Unavailable(
@@ -181,7 +192,7 @@
         """Return the status, the decoded body and the era of the response."""
         if self._session is None:
             self._session = ClientSession(
-                connector=TCPConnector(limit=0, keepalive_timeout=5.0),
+                connector=bounded_connector(keepalive_s=KEEPALIVE_S),
                 cookie_jar=DummyCookieJar(),
             )
         if body is not None:
@@ -197,7 +208,7 @@
                 era = self._eras.read(resp.headers)
                 return (
                     resp.status,
-                    await _decode_body(path, await resp.read()),
+                    await _decode_body(path, await read_answer(resp)),
                     era,
                 )
         except CALL_ERRORS as exc:
@@ -219,6 +230,10 @@
     return loads(body) if body.strip() else None
 
 
+def _size(item: StoredObject) -> int:
+    return OBJECT_BYTES + len(item.data or b'')
+
+
 def _parse_items(
     raw_items: list[Any], era: int
 ) -> Generator[None, None, list[StoredObject]]:
--- a/carawaylane/storage/http.py
+++ b/carawaylane/storage/http.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from json import loads
 from typing import Any
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
+from carawaylane.storage.answers import bounded_connector, read_answer
 from carawaylane.storage.driver import (
     HostState,
     Unavailable,
@@ -16,6 +18,7 @@
 
 CALL_TIMEOUT_S = 3.0
 CONNECT_TIMEOUT_S = 1.0
+KEEPALIVE_S = 15.0
 
 
 @driver('http')
@@ -115,7 +118,9 @@
         **kwargs: Any,
     ) -> tuple[int, Any] | Unavailable:
         if self._session is None:
-            self._session = ClientSession()
+            self._session = ClientSession(
+                connector=bounded_connector(keepalive_s=KEEPALIVE_S)
+            )
         timeout = ClientTimeout(
             total=total_timeout_s, connect=CONNECT_TIMEOUT_S
         )
@@ -125,7 +130,10 @@
             ) as http_response:
                 if http_response.status >= 500 or http_response.status == 429:
                     return Unavailable(reason=f'status {http_response.status}')
-                return http_response.status, await http_response.json()
+                body = await read_answer(http_response)
+                return http_response.status, (
+                    loads(body) if body.strip() else None
+                )
         except (TimeoutError, ClientError, OSError, ValueError) as exc:
             return Unavailable(reason=type(exc).__name__)
 
