Join the small pieces of an answer that is held

Callers saw: nothing, unless a target sent a large answer a byte or two at a time: what was held of it took 22 times (streamed, with a reader at rest) and 62 times (read whole, at its peak) what the memory budget counted, so the budget did not keep the node within its memory.

Cause: each piece is an object of some 40 bytes beside its bytes, and the budget counts the bytes. Pieces are now joined up to 1 KB.

gateway/test_streamed_answers.py: 2 of 2 failed before (4.3 MB and 12.5 MB for 200 KB), both pass after.

--- a/carawaylane/gateway/exchanges.py
+++ b/carawaylane/gateway/exchanges.py
@@ -20,6 +20,7 @@
     ANSWER_ERRORS,
     READ_BYTES,
     AnswerStream,
+    add_piece,
 )
 from carawaylane.gateway.target_connections import ConnectionPool
 from carawaylane.gateway.target_messages import check_answer, request_head
@@ -309,7 +310,7 @@
                             payload=payload, chunks=chunks, pending=chunk
                         )
                     held_bytes += len(chunk)
-                chunks.append(chunk)
+                add_piece(chunks, chunk)
                 if buffer_limit is not None and held_bytes > buffer_limit:
                     kept = True
                     return _PartialBody(payload=payload, chunks=chunks)
--- a/carawaylane/gateway/streamed_answers.py
+++ b/carawaylane/gateway/streamed_answers.py
@@ -10,7 +10,7 @@
 from aiohttp.http_exceptions import HttpProcessingError
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable
+    from collections.abc import AsyncIterator, Callable, MutableSequence
 
     from aiohttp import StreamReader
 
@@ -24,6 +24,9 @@
 # A chunk as large as all that has arrived may not fit into what a connection
 # may hold, which a stream would then wait for in vain.
 READ_BYTES = 32 << 10
+# Pieces are joined up to this size, since each one takes some 40 bytes more
+# than its length, and a target may send a byte at a time.
+JOINED_PIECE_BYTES = 1024
 # Raised by aiohttp while an answer is read and parsed.
 ANSWER_ERRORS = (ClientError, HttpProcessingError, OSError, ValueError)
 
@@ -105,7 +108,7 @@
             self._pending = b''
             while chunk or (chunk := await self._next_chunk()):
                 await self._hold(len(chunk))
-                self._chunks.append(chunk)
+                add_piece(self._chunks, chunk)
                 self._changed.set()
                 chunk = b''
             complete = True
@@ -138,3 +141,11 @@
         for on_end in self._on_end:
             on_end(complete)
         self._on_end.clear()
+
+
+def add_piece(pieces: MutableSequence[bytes], piece: bytes) -> None:
+    """Add what was read of a body to the pieces before it."""
+    if pieces and len(pieces[-1]) + len(piece) <= JOINED_PIECE_BYTES:
+        pieces[-1] += piece
+    else:
+        pieces.append(piece)
