--- a/carawaylane/services/response_handler.py
+++ b/carawaylane/services/response_handler.py
@@ -29,6 +29,12 @@
 MIN_STATUS = 100
 # A value of a header holds none of these; a tab is allowed (RFC 9110, 5.5).
 _CONTROL_CHARACTER = re_compile(rb'[\x00-\x08\x0a-\x1f\x7f]')
+SWITCHING_PROTOCOLS = 101
+# Bytes of a chunked body without data in between: chunk sizes with their
+# extensions, and trailers.
+MAX_FRAMING_BYTES = 32 << 10
+# Lines of heads, each of which takes a call of the parser.
+MAX_LINES = 8192
 # Received data is parsed in parts of this size, since a part may hold hundreds
 # of messages, and the bounds are checked after each one.
 PART_BYTES = 8192
@@ -51,9 +57,15 @@
         self._head_complete = False
         # Bytes that are left of a body with a length.
         self._body_bytes_left: int | None = None
+        # What has been parsed of a body without one, and the bytes received
+        # until then.
+        self._parsed_bytes = 0
+        self._received_bytes = 0
         self._is_foreign: Callable[[Any], bool] | None = None
         self.skipped_answers = 0
         self.skipped_bytes = 0
+        # Lines that were parsed one by one since the request.
+        self._lines = 0
         # Whether the answer that is being received is skipped.
         self._is_skipping = False
 
@@ -63,6 +75,7 @@
         self._is_foreign = None
         self.skipped_answers = 0
         self.skipped_bytes = 0
+        self._lines = 0
         super().set_response_params(**params)
 
     def _expect_head(self) -> None:
@@ -71,6 +84,8 @@
         self._interim_answers = 0
         self._head_complete = False
         self._body_bytes_left = None
+        self._parsed_bytes = 0
+        self._received_bytes = 0
         self._is_skipping = False
 
     def skip_answers(self, is_foreign: Callable[[Any], bool] | None) -> None:
@@ -86,7 +101,11 @@
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Take a parsed head, with the reader of its body."""
         message, _ = data
-        if 100 <= message.code < 200 and message.code != 101:
+        if message.code == SWITCHING_PROTOCOLS:
+            # No request asks for another protocol.
+            self._fail('a switch of protocols')
+            return
+        if 100 <= message.code < 200:
             self._interim_answers += 1
             super().feed_data(data, size)
             return
@@ -112,9 +131,14 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received data as far as it belongs to an answer."""
-        if not data or self._upgraded:
+        if not data:
             super().data_received(data)
             return
+        if self._parser is None:
+            # Nothing has been asked yet.
+            self.force_close()
+            self._close()
+            return
         start = 0
         while start < len(data) and self.is_connected():
             if self._answer_complete():
@@ -124,8 +148,13 @@
             part = self._next_part(data, start)
             start += len(part)
             super().data_received(part)
-            if not self._head_complete and self._head_too_long():
-                self._fail('the head is too long')
+            if self._lines > MAX_LINES:
+                self._fail('too many lines')
+            elif not self._head_complete:
+                if self._head_too_long():
+                    self._fail('the head is too long')
+            elif self._body_bytes_left is None and self._framing_too_long():
+                self._fail('the framing of a body is too long')
             if self._is_skipping:
                 self._skip(is_last=start == len(data))
 
@@ -155,8 +184,7 @@
         """Return the data to parse next: a line of a head, part of a body."""
         end = start + PART_BYTES
         if not self._head_complete:
-            line_end = data.find(b'\n', start, end)
-            part = data[start : line_end + 1 if line_end >= 0 else end]
+            part = self._first_line(data, start, end)
             self._head_bytes += len(part)
             return part
         part = data[start:end]
@@ -166,6 +194,14 @@
         self.body_bytes += len(part)
         return part
 
+    def _first_line(self, data: bytes, start: int, end: int) -> bytes:
+        """Return a part of some data as far as its first line end."""
+        line_end = data.find(b'\n', start, end)
+        if line_end < 0:
+            return data[start:end]
+        self._lines += 1
+        return data[start : line_end + 1]
+
     def _skip(self, *, is_last: bool) -> None:
         """Drop what has arrived of an answer to another request."""
         if not self.is_connected():
@@ -192,6 +228,16 @@
             or self._interim_answers > MAX_INTERIM_ANSWERS
         )
 
+    def _framing_too_long(self) -> bool:
+        payload = self._payload
+        if payload is None or self._reading_paused:
+            # While the reader rests, what arrives is not parsed.
+            return False
+        if payload.total_bytes != self._parsed_bytes:
+            self._parsed_bytes = payload.total_bytes
+            self._received_bytes = self.body_bytes
+        return self.body_bytes - self._received_bytes > MAX_FRAMING_BYTES
+
     def _answer_complete(self) -> bool:
         if not self._head_complete:
             return False
@@ -205,8 +251,7 @@
             return 0
         if message.chunked:
             return None
-        text = message.headers.get('Content-Length', '')
-        return int(text) if text.isdecimal() else None
+        return content_length(message)
 
     def _has_clear_end(self, message: Any) -> bool:
         """Return whether the framing of an answer is one that is understood.
@@ -234,3 +279,10 @@
     return message.code >= MIN_STATUS and not any(
         _CONTROL_CHARACTER.search(value) for _, value in message.raw_headers
     )
+
+
+def content_length(message: Any) -> int | None:
+    """Return the length that an answer states for its body, if any."""
+    text = message.headers.get('Content-Length', '')
+    # The parser lets thousands of zeros pass, which `int` does not convert.
+    return int(text.lstrip('0') or '0') if text.isdecimal() else None
