Pass on nothing in a stop whose answer can't be awaited

Others were cut by an exit that did not wait for the buffer of a slow caller's response.

Cause: whether requests are taken was asked once, as the head was read; the times of a stop did not follow from the grace; a connection counted as idle just after aiohttp had taken a request, and as done before its response had left the process.

The times of a stop follow from the grace. A request is passed on if its time ends before the stop, else only until new requests are refused, and if its latency objective fits. This is asked before a slot is asked for and just before each send. At the refusal time, what waits and can't be awaited gets 503 with Retry-After; at the end, what still runs gets 504.

--- a/carawaylane/gateway/attempts.py
+++ b/carawaylane/gateway/attempts.py
@@ -16,6 +16,7 @@
 )
 from carawaylane.gateway.dispatch import GrantedSlot
 from carawaylane.gateway.exchanges import ExchangeResult
+from carawaylane.gateway.stopping import Progress
 from carawaylane.messages.dispatch import BackpressureNotice
 from carawaylane.messages.exchange import OutgoingRequest
 from carawaylane.messages.outcomes import (
@@ -46,6 +47,9 @@
 # Attempts that could not connect don't count against the route's limit on
 # targets, so they have a limit of their own.
 MAX_FAILED_CONNECTIONS = 3
+# Delay after which a caller comes back that a stopping node refuses.
+STOP_RETRY_AFTER_S = 0.02
+NODE_STOPS = 'this node stops'
 KEY_WITHDRAWN = 'the key was withdrawn'
 UNAUTHORIZED_STATUS = 401
 TOO_MANY_REQUESTS_STATUS = 429
@@ -66,6 +70,7 @@
     digest: int
     # Whose request it is; None if the route needs no key.
     credential: Credential | None = None
+    progress: Progress = Factory(Progress)
 
     @property
     def customer(self) -> str:
--- a/carawaylane/gateway/caller_connection.py
+++ b/carawaylane/gateway/caller_connection.py
@@ -122,6 +122,8 @@
         self._current_task: Task[Response | None] | None = None
         # None if not looked up yet.
         self._current_is_safe: bool | None = None
+        # Whether aiohttp has taken a request that is not answered yet.
+        self._has_taken = False
         self._is_pipelined = False
         # Set when no further request is to be read.
         self._reads_no_more = False
@@ -138,7 +140,17 @@
     @property
     def is_busy(self) -> bool:
         """Whether a request that was read is not answered yet."""
-        return self._request_in_progress or bool(self._messages)
+        return self._has_taken or bool(self._messages)
+
+    @property
+    def is_sending(self) -> bool:
+        """Whether responses have not left the process yet."""
+        transport = self.transport
+        return transport is not None and transport.get_write_buffer_size() > 0
+
+    def take(self) -> None:
+        """Record that aiohttp takes a request, and starts it soon."""
+        self._has_taken = True
 
     def data_received(self, data: bytes) -> None:
         """Parse received data, and start the requests that may start.
@@ -310,6 +322,7 @@
                 sent.discard()
         if self._is_pipelined and not reset and not resp.keep_alive:
             await self._linger()
+        self._has_taken = False
         return resp, reset
 
     async def _linger(self) -> None:
--- a/carawaylane/gateway/caller_requests.py
+++ b/carawaylane/gateway/caller_requests.py
@@ -16,7 +16,9 @@
     MIN_LARGE_RESPONSE_BYTES,
 )
 from carawaylane.decisions.routing.route_table import TrafficSplitter
+from carawaylane.gateway.attempts import NODE_STOPS, STOP_RETRY_AFTER_S
 from carawaylane.gateway.forwarding import RoutedRequest
+from carawaylane.gateway.stopping import Progress
 from carawaylane.messages.exchange import OutgoingRequest
 from carawaylane.platform.headers import (
     CUSTOMER_HEADERS,
@@ -38,7 +40,6 @@
     from carawaylane.messages.platform_objects import Route
     from carawaylane.platform.headers import RequestHeaders
 
-DRAIN_RETRY_AFTER_S = 0.02
 NO_PLAN_RETRY_AFTER_S = 0.3
 # Slow readers that are to leave are found in this time.
 NO_MEMORY_RETRY_AFTER_S = 0.5
@@ -65,6 +66,9 @@
     reason='no configuration is known yet',
     retry_after_s=NO_PLAN_RETRY_AFTER_S,
 )
+STOPS_RESPONSE = ErrorResponse(
+    status=503, reason=NODE_STOPS, retry_after_s=STOP_RETRY_AFTER_S
+)
 NO_MEMORY = ErrorResponse(
     status=503,
     reason='this node has no memory left',
@@ -78,6 +82,7 @@
     def __init__(self, *, kernel: Kernel) -> None:
         self._kernel = kernel
         self._directory = kernel.find('directory')
+        self._stopping = kernel.find('stopping')
         self._traffic_splitter = TrafficSplitter()
         # Set late in a drain, when a new request might not end in time.
         self.refuses_requests = False
@@ -95,29 +100,16 @@
         req: BaseRequest,
         received_at_s: float,
         holding: Holding | None = None,
+        progress: Progress | None = None,
     ) -> RoutedRequest | ErrorResponse:
         """Return the request with its route, or the error that answers it."""
         if self.refuses_requests:
-            return ErrorResponse(
-                status=503,
-                reason='this node stops',
-                retry_after_s=DRAIN_RETRY_AFTER_S,
-            )
+            return STOPS_RESPONSE
         host, path = host_and_path(req.raw_path, req.headers)
         if host is None:
             return ErrorResponse(status=400, reason='not one host is named')
         headers = read_request_headers(req.headers)
-        if not self._directory.has_routes_and_targets():
-            await self._wait_for(self._directory.first_copies, headers)
-        found = self._find_route(req, host, path)
-        if isinstance(found, ErrorResponse) and self._directory.is_outdated():
-            # A version that is known to exist may have the route or the key.
-            await self._wait_for(self._directory.plan_settled, headers)
-            found = self._find_route(req, host, path)
-            if isinstance(found, ErrorResponse) and (
-                self._directory.is_outdated()
-            ):
-                return NO_PLAN_RESPONSE
+        found = await self._await_route(req, host, path, headers)
         if isinstance(found, ErrorResponse):
             return found
         route, credential = found
@@ -126,6 +118,10 @@
                 status=400, reason='the time left is no number'
             )
         time_left_s = _time_left_s(route, headers)
+        progress = progress or Progress()
+        progress.deadline_s = received_at_s + time_left_s
+        if not self._stopping.may_send(progress.deadline_s, route.objective_s):
+            return STOPS_RESPONSE
         if not _has_room(req, route, credential, holding):
             return NO_MEMORY
         body = await self._read_body(req, time_left_s, holding)
@@ -148,11 +144,33 @@
             ),
             route=route,
             service=destination.service,
-            deadline_s=received_at_s + time_left_s,
+            deadline_s=progress.deadline_s,
             digest=_request_digest(route, credential, req.method, path, body),
             credential=credential,
+            progress=progress,
         )
 
+    async def _await_route(
+        self,
+        req: BaseRequest,
+        host: str,
+        path: str,
+        headers: RequestHeaders | None,
+    ) -> tuple[Route, Credential | None] | ErrorResponse:
+        """Return the route and the credential; wait for copies if needed."""
+        if not self._directory.has_routes_and_targets():
+            await self._wait_for(self._directory.first_copies, headers)
+        found = self._find_route(req, host, path)
+        if isinstance(found, ErrorResponse) and self._directory.is_outdated():
+            # A version that is known to exist may have the route or the key.
+            await self._wait_for(self._directory.plan_settled, headers)
+            found = self._find_route(req, host, path)
+            if isinstance(found, ErrorResponse) and (
+                self._directory.is_outdated()
+            ):
+                return NO_PLAN_RESPONSE
+        return found
+
     def _find_route(
         self, req: BaseRequest, host: str, path: str
     ) -> tuple[Route, Credential | None] | ErrorResponse:
--- a/carawaylane/gateway/callers.py
+++ b/carawaylane/gateway/callers.py
@@ -6,7 +6,12 @@
 
 from __future__ import annotations
 
-from asyncio import AbstractServer, get_running_loop, sleep
+from asyncio import (
+    AbstractServer,
+    CancelledError,
+    get_running_loop,
+    sleep,
+)
 from math import ceil
 from typing import TYPE_CHECKING, Any, cast
 
@@ -17,9 +22,16 @@
 from carawaylane.decisions.customers.customer_counts import (
     CustomerOutcome,
 )
-from carawaylane.gateway.attempts import TOO_MANY_REQUESTS_STATUS
+from carawaylane.gateway.attempts import (
+    NODE_STOPS,
+    TOO_MANY_REQUESTS_STATUS,
+)
 from carawaylane.gateway.caller_connection import CallerConnection
-from carawaylane.gateway.caller_requests import ErrorResponse, RequestReader
+from carawaylane.gateway.caller_requests import (
+    STOPS_RESPONSE,
+    ErrorResponse,
+    RequestReader,
+)
 from carawaylane.gateway.caller_responses import (
     CallerResponse,
     render_error,
@@ -41,13 +53,7 @@
     from carawaylane.kernel.kernel import Kernel
 
 DRAIN_POLL_S = 0.02
-# A draining node serves requests until the load balancer has noticed, which
-# takes two failed readiness checks, a second apart. Then it refuses requests
-# until it exits, for at least DRAIN_REFUSE_S.
-DRAIN_SERVE_S = 2.6
-DRAIN_REFUSE_S = 0.4
-# The drain ends this long before the platform kills the process.
-EXIT_MARGIN_S = 0.6
+CUT_RESPONSE = ErrorResponse(status=504, reason=NODE_STOPS)
 # Requests that end with another status are logged as warnings.
 NORMAL_STATUSES = (200, 201, 202, 204, 404)
 
@@ -89,6 +95,7 @@
         self._target_paths = self.kernel.find('target_paths')
         self._quotas = self.kernel.find('quotas')
         self._memory = self.kernel.find('memory')
+        self._stopping = self.kernel.find('stopping')
         self._metrics = self.kernel.find('telemetry').metrics
         self._http_server = _HttpServer(callers=self)
         sock = self.kernel.sockets.pop(self.name, None)
@@ -101,21 +108,33 @@
     async def drain(self) -> None:
         """Serve until the load balancer has noticed, then finish requests.
 
-        These include the requests that the node sends for peers.
+        These include the requests that the node sends for peers. All that was
+        read is answered before the sockets close.
         """
-        started_at_s = self.kernel.now_s()
-        deadline_s = (
-            started_at_s + self.kernel.cfg.bounds.grace_s - EXIT_MARGIN_S
-        )
-        await sleep(DRAIN_SERVE_S)
+        stopping = self._stopping
+        stopping.begin()
+        await self._sleep_until(stopping.refuse_at_s)
         self._reader.refuses_requests = True
+        stopping.refuse_waiting()
         self._close_idle_connections()
-        await sleep(DRAIN_REFUSE_S)
+        await self._sleep_until(stopping.unseen_at_s)
         while (
             self._has_busy_connections() or self._target_paths.relayed_requests
-        ) and self.kernel.now_s() < deadline_s:
+        ) and self.kernel.now_s() < stopping.end_s:
+            await sleep(DRAIN_POLL_S)
+        stopping.cut_all()
+        if self._listener is not None:
+            self._listener.close()
+        self._close_idle_connections()
+        while (
+            self._has_busy_connections()
+            and self.kernel.now_s() < stopping.exit_s
+        ):
             await sleep(DRAIN_POLL_S)
 
+    async def _sleep_until(self, time_s: float) -> None:
+        await sleep(max(0.0, time_s - self.kernel.now_s()))
+
     def _close_idle_connections(self) -> None:
         """Close the connections without a request.
 
@@ -126,7 +145,9 @@
                 conn.transport.close()
 
     def _has_busy_connections(self) -> bool:
-        return any(conn.is_busy for conn in self._connections())
+        return any(
+            conn.is_busy or conn.is_sending for conn in self._connections()
+        )
 
     def _connections(self) -> list[CallerConnection]:
         return cast('list[CallerConnection]', self._http_server.connections)
@@ -153,6 +174,8 @@
     def make_request(self, *args: Any) -> Any:
         """Return a request object that applies the body limit in force."""
         message, payload, protocol, writer, task = args
+        if writer is not None:
+            protocol.take()
         return BaseRequest(
             message,
             payload,
@@ -214,8 +237,11 @@
         holding = self._memory.open(conn)
         holding.in_turn = in_turn
         response: CallerResponse | None = None
+        progress = self._stopping.open()
         try:
-            routed = await self._reader.read(req, received_at_s, holding)
+            routed = await self._reader.read(
+                req, received_at_s, holding, progress
+            )
             if isinstance(routed, ErrorResponse):
                 status, reason = routed.status, routed.reason
                 response = render_error(routed, holding)
@@ -227,7 +253,15 @@
             status = response.status
             reason = getattr(outcome, 'reason', '')
             return response
+        except CancelledError:
+            if not self._stopping.answers(progress):
+                raise
+            error = CUT_RESPONSE if progress.may_have_run else STOPS_RESPONSE
+            status, reason = error.status, error.reason
+            response = render_error(error, holding)
+            return response
         finally:
+            self._stopping.close(progress)
             if response is None:
                 holding.release()
             self._record_request(
@@ -254,7 +288,13 @@
                 retry_after_ms=ceil(admission.retry_after_s * 1000),
                 status=TOO_MANY_REQUESTS_STATUS,
             )
-        outcome = await self._forwarding.forward(routed, admission)
+        try:
+            outcome = await self._forwarding.forward(routed, admission)
+        except CancelledError:
+            progress = routed.progress
+            if admission and progress.is_cut and not progress.may_have_run:
+                self._quotas.give_back(admission)
+            raise
         if not isinstance(outcome, NotRun):
             self._quotas.counts.count(customer.name, CustomerOutcome.ADMITTED)
             return outcome
--- a/carawaylane/gateway/forwarding.py
+++ b/carawaylane/gateway/forwarding.py
@@ -89,6 +89,7 @@
     async def _run_attempts(self, state: ForwardState) -> Outcome:
         attempt_kind = AttemptKind.FIRST
         while True:
+            state.routed.progress.may_have_run = state.may_have_run
             if state.in_flight:
                 slot = await self._acquire_extra_slot(state, attempt_kind)
             else:
@@ -166,6 +167,9 @@
             )
         if self._crashes.is_quarantined(routed):
             return refuse_quarantined(ticket)
+        late = self._slot_checks.refuse_late(state, ticket)
+        if late is not None:
+            return late
         slot_request = SlotRequest(
             ticket=ticket,
             data_centre=self.kernel.cfg.data_centre,
@@ -211,6 +215,7 @@
                 + max(grant.hedge_after_s, MIN_REPORT_INTERVAL_S),
             )
         )
+        routed.progress.may_have_run = True
         state.tried_targets.add(grant.target)
         self._slot_client.record_sent(slot, routed.request.request_id)
         state.targets_reached += 1
--- a/carawaylane/gateway/node.py
+++ b/carawaylane/gateway/node.py
@@ -50,6 +50,7 @@
     'quotas': 'carawaylane.gateway.quotas',
     'backpressure': 'carawaylane.gateway.backpressure',
     'memory': 'carawaylane.gateway.memory',
+    'stopping': 'carawaylane.gateway.stopping',
     'exchanges': 'carawaylane.gateway.exchanges',
     'target_paths': 'carawaylane.gateway.target_paths',
     'crashes': 'carawaylane.gateway.crashes',
--- a/carawaylane/gateway/slot_checks.py
+++ b/carawaylane/gateway/slot_checks.py
@@ -1,7 +1,7 @@
 """Checks a request again when it gets a slot, as it may have waited for it.
 
-Its customer may have lost the key. Its quota bounds the requests that run in
-a window, so a request that waited counts when it runs.
+Its customer may have lost the key, and the node may stop. Its quota bounds the
+requests that run in a window, so a request that waited counts when it runs.
 """
 
 from __future__ import annotations
@@ -11,7 +11,11 @@
 from typing import TYPE_CHECKING
 
 from carawaylane.decisions.placement.failure_estimate import Result
-from carawaylane.gateway.attempts import KEY_WITHDRAWN
+from carawaylane.gateway.attempts import (
+    KEY_WITHDRAWN,
+    NODE_STOPS,
+    STOP_RETRY_AFTER_S,
+)
 from carawaylane.messages.dispatch import Refusal
 
 if TYPE_CHECKING:
@@ -20,6 +24,7 @@
     from carawaylane.gateway.attempts import ForwardState
     from carawaylane.gateway.dispatch import GrantedSlot
     from carawaylane.kernel.kernel import Kernel
+    from carawaylane.messages.dispatch import Ticket
 
 # A request that waits for this long is reported to the quota home, so that it
 # doesn't count until it runs. Most requests get a slot within milliseconds.
@@ -32,6 +37,7 @@
     def __init__(self, *, kernel: Kernel) -> None:
         self._directory = kernel.find('directory')
         self._quotas = kernel.find('quotas')
+        self._stopping = kernel.find('stopping')
 
     @contextmanager
     def wait(self, state: ForwardState) -> Iterator[None]:
@@ -58,6 +64,8 @@
         try:
             if not self._is_key_withdrawn(state):
                 refusal = await self._refusal_by_quota(state, slot)
+            if refusal is None:
+                refusal = self.refuse_late(state, slot.grant.ticket)
         finally:
             # Also if the caller leaves while the quota home is asked.
             if refusal is not None:
@@ -66,6 +74,23 @@
                 )
         return slot if refusal is None else refusal
 
+    def refuse_late(
+        self, state: ForwardState, ticket: Ticket
+    ) -> Refusal | None:
+        """Return a refusal if the node stops before an answer can come."""
+        routed = state.routed
+        if self._stopping.may_send(
+            routed.deadline_s,
+            routed.route.objective_s,
+            again=state.may_have_run,
+        ):
+            return None
+        return Refusal(
+            ticket=ticket,
+            retry_after_s=STOP_RETRY_AFTER_S,
+            reason=NODE_STOPS,
+        )
+
     def _is_key_withdrawn(self, state: ForwardState) -> bool:
         """Return whether the customer lost its key since the request came."""
         credential = state.routed.credential
--- a/tests/gateway/test_daemon.py
+++ b/tests/gateway/test_daemon.py
@@ -211,6 +211,23 @@
     await stop_daemon(proc)
 
 
+async def test_a_second_sigterm_cuts_no_request(fleet, tmp_path):
+    fleet.store.put('config', 'main', plan_spec())
+    target = await fleet.start_target(
+        'i-1', lambda n, data: Reply(delay_s=0.6)
+    )
+    proc, settings, _ = await start_ready_daemon(fleet, tmp_path)
+    response_task = create_task(fetch_from(settings, '/read/x'))
+    while not target.requests:
+        await sleep(0.01)
+    proc.send_signal(SIGTERM)
+    await sleep(0.2)
+    proc.send_signal(SIGTERM)
+    assert (await response_task).status == 200
+    assert (await fetch_from(settings, '/read/y')).status == 200
+    await stop_daemon(proc)
+
+
 async def test_a_daemon_logs_its_events_and_removes_its_member_when_stopped(
     fleet, tmp_path
 ):
