Let one unreadable entry hide no other and end no node

Callers saw cut requests and 503: with one odd entry of another writer in the store, nodes ended again and again (a surrogate or a number as the name, values nested some 985 deep, cores of 1e300), or followed no change any more (bytes that are not UTF-8, numbers of 5,000 digits, deeper nesting).

Cause: a page of the store was decoded at once, and its objects were checked at some of the places that use them, each for other errors.

A page that can't be decoded as a whole is taken apart, and each object gets one decoder, whatever it came from: bytes become a value or a rejection with name and reason. A rejected revision is reported once and counted. A target or member that becomes unreadable counts as gone; the configuration in force stays. Malformed addresses are an OSError where connections are opened.

--- a/carawaylane/gateway/channels.py
+++ b/carawaylane/gateway/channels.py
@@ -8,6 +8,8 @@
 from attrs import Factory, define
 from grpclib.client import Channel
 
+from carawaylane.kernel.addresses import split_address
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -39,12 +41,12 @@
 
     @contextmanager
     def use(self, address: str) -> Iterator[SharedChannel]:
-        """Return the channel to a peer for one call."""
+        """Return the channel to a peer for one call, or raise OSError."""
         shared = self._by_address.get(address)
         if shared is None:
-            host, _, port = address.rpartition(':')
+            host, port = split_address(address)
             shared = SharedChannel(
-                address=address, channel=Channel(host, int(port))
+                address=address, channel=Channel(host, port)
             )
             self._by_address[address] = shared
         shared.calls += 1
--- a/carawaylane/gateway/copies.py
+++ b/carawaylane/gateway/copies.py
@@ -5,7 +5,11 @@
 from typing import TYPE_CHECKING, Any
 
 from carawaylane.gateway.large_objects import Unpacked
-from carawaylane.messages.stored_objects import ObjectDelta, ObjectKind
+from carawaylane.messages.stored_objects import (
+    KIND_BY_NUMBER,
+    ObjectDelta,
+    ObjectKind,
+)
 from carawaylane.rpc.delta_codec import pack_delta
 
 if TYPE_CHECKING:
@@ -54,7 +58,9 @@
         """
         advanced = has_gap = False
         for msg in deltas:
-            kind = ObjectKind(msg.kind)
+            kind = KIND_BY_NUMBER.get(msg.kind)
+            if kind is None:
+                continue
             replica = self._directory.replicas[kind]
             revision_before = replica.revision
             if 0 < msg.revision <= revision_before:
@@ -148,7 +154,9 @@
         small messages, such as heartbeats, are not delayed.
         """
         for msg in request.known:
-            kind = ObjectKind(msg.kind)
+            kind = KIND_BY_NUMBER.get(msg.kind)
+            if kind is None:
+                continue
             replica = self._directory.replicas[kind]
             if replica.revision < msg.revision or not replica.revision:
                 continue
--- a/carawaylane/gateway/directory.py
+++ b/carawaylane/gateway/directory.py
@@ -22,6 +22,7 @@
 from carawaylane.decisions.propagation.store_outages import StoreOutages
 from carawaylane.decisions.routing.route_table import RouteTable
 from carawaylane.gateway.plan_adoption import PlanAdoption, is_large
+from carawaylane.gateway.rejected_objects import RejectedObjects
 from carawaylane.kernel.service import Actor, Service, service
 from carawaylane.messages.platform_objects import (
     InvalidObject,
@@ -44,7 +45,6 @@
 from carawaylane.platform.plan_compiler import CompiledPlan
 from carawaylane.telemetry.events import (
     CONFIG_IN_FORCE,
-    ENTRY_UNREADABLE,
     MEMBERS_MOVED,
     STORE_RESTORED,
     TARGETS_MOVED,
@@ -71,7 +71,8 @@
 
     `replicas` holds the stored objects with their revisions; `plan`,
     `route_table`, `key_ring`, `targets` and `members` are decoded from them.
-    Objects that can't be decoded are logged and left out.
+    Objects that can't be decoded are `rejected` and left out. A target or
+    member that is known counts as gone with the first such revision.
     """
 
     def __init__(self, *, kernel: Kernel) -> None:
@@ -80,6 +81,7 @@
         self.outages = StoreOutages(
             name=kernel.cfg.name, answered_at_s=kernel.now_s()
         )
+        self.rejected = RejectedObjects(kernel=kernel)
         self.plan: Plan | None = None
         self.route_table = RouteTable(routes=())
         self.key_ring = KeyRing(customers=())
@@ -264,6 +266,7 @@
     ) -> None:
         """Put a version in force unless there is a newer one."""
         plan = compiled.plan
+        self.rejected.discard(ObjectKind.PLAN, item.name)
         if self.plan is None or plan.version > self.plan.version:
             self.plan = plan
             self.route_table = compiled.route_table
@@ -280,7 +283,7 @@
             self.first_copies.set()
 
     def _reject_plan(self, invalid: InvalidObject, item: StoredObject) -> None:
-        self._log_invalid(invalid)
+        self.rejected.add(ObjectKind.PLAN, invalid, item.revision)
         self._settle_plan(item)
 
     def record_newer_plan(self, revision: int) -> None:
@@ -301,14 +304,11 @@
     ) -> None:
         changed_services: set[str] = set()
         for item in items:
-            target = None
             if self._keep_lapsed(ObjectKind.TARGETS, item):
                 continue
-            if item.data is not None:
-                target = decode_target(item.name, item.data)
-            if isinstance(target, InvalidObject):
-                self._log_invalid(target)
-                target = None
+            target = self.rejected.decode(
+                ObjectKind.TARGETS, item, decode_target
+            )
             changed_services |= self._replace_target(item.name, target)
         self._publish_changes(changed_services)
 
@@ -364,17 +364,15 @@
     ) -> None:
         self._ranked_names.clear()
         for item in items:
-            member = None
             if self._keep_lapsed(ObjectKind.MEMBERS, item):
                 continue
-            if item.data is not None:
-                member = decode_member(item.name, item.data)
-            if isinstance(member, Member):
-                self.members[item.name] = member
-                continue
-            self.members.pop(item.name, None)
+            member = self.rejected.decode(
+                ObjectKind.MEMBERS, item, decode_member
+            )
             if member is not None:
-                self._log_invalid(member)
+                self.members[item.name] = member
+            else:
+                self.members.pop(item.name, None)
         self._log_members()
 
     def _log_members(self) -> None:
@@ -386,9 +384,6 @@
             ),
         )
 
-    def _log_invalid(self, invalid: InvalidObject) -> None:
-        emit(ENTRY_UNREADABLE, entry=invalid.name, reason=invalid.reason)
-
 
 _UPDATE_METHODS: dict[
     ObjectKind, Callable[[Any, Iterable[StoredObject], str], None]
--- a/carawaylane/gateway/large_objects.py
+++ b/carawaylane/gateway/large_objects.py
@@ -19,6 +19,7 @@
 from carawaylane.gateway.whole_fetch import PART_BYTES, WholeFetch, with_items
 from carawaylane.kernel.steps import run_at_once, run_in_steps
 from carawaylane.messages.stored_objects import (
+    KIND_BY_NUMBER,
     ObjectDelta,
     ObjectKind,
     StoredObject,
@@ -246,8 +247,10 @@
 
     def reply_with_part(self, fetch: Fetch) -> SyncReply:
         """Return a part of a whole, empty if this node has another one."""
-        replica = self._directory.replicas[ObjectKind(fetch.kind)]
-        item = replica.items.get(fetch.name)
+        kind = KIND_BY_NUMBER.get(fetch.kind)
+        if kind is None:
+            return SyncReply()
+        item = self._directory.replicas[kind].items.get(fetch.name)
         if item is None or not is_large(item):
             return SyncReply()
         compressed = self._compress(item)
@@ -320,11 +323,13 @@
 
     def _unpack(self, msg: Known) -> Generator[None, None, Unpacked]:
         delta = unpack_delta(msg)
-        replica = self._directory.replicas[ObjectKind(msg.kind)]
+        kind = ObjectKind(msg.kind)
+        replica = self._directory.replicas[kind]
         items = list(delta.items)
         text = None
         for packed in msg.packed:
-            self._directory.record_newer_plan(packed.revision)
+            if kind is ObjectKind.PLAN:
+                self._directory.record_newer_plan(packed.revision)
             current = replica.items.get(packed.name)
             if current is not None and current.revision >= packed.revision:
                 items.append(current)
--- a/carawaylane/gateway/links.py
+++ b/carawaylane/gateway/links.py
@@ -15,6 +15,7 @@
 from h2.exceptions import H2Error
 
 from carawaylane.gateway.channels import ChannelPool
+from carawaylane.kernel.addresses import InvalidAddressError, split_address
 from carawaylane.kernel.service import Service, service
 from carawaylane.kernel.timeouts import ReplyTimeout
 from carawaylane.rpc.connections import closed_connection_is_reset
@@ -104,9 +105,9 @@
         `hello` is the first message; it identifies the entry. `svc` owns the
         task that sends.
         """
-        host, _, port = self._address.rpartition(':')
-        self._channel = Channel(host, int(port))
         try:
+            host, port = split_address(self._address)
+            self._channel = Channel(host, port)
             async with ReplyTimeout(CONNECT_TIMEOUT_S):
                 await self._channel.__connect__()
             emit(LINK_OPEN, member=self.member)
@@ -165,6 +166,19 @@
         connect_timeout_s: float = CALL_TIMEOUT_S,
     ) -> Any:
         """Call a method of a peer; return None if it fails or times out."""
+        try:
+            return await self._call(address, method, msg, connect_timeout_s)
+        except InvalidAddressError as exc:
+            emit(LINK_LOST, member=address, method=method, error=repr(exc))
+            return None
+
+    async def _call(
+        self,
+        address: str,
+        method: str,
+        msg: Message,
+        connect_timeout_s: float,
+    ) -> Any:
         with self._channels.use(address) as shared:
             try:
                 async with ReplyTimeout(connect_timeout_s):
--- a/carawaylane/gateway/status.py
+++ b/carawaylane/gateway/status.py
@@ -17,6 +17,7 @@
 
 if TYPE_CHECKING:
     from aiohttp.web_request import BaseRequest
+    from prometheus_client.registry import Collector
 
     from carawaylane.kernel.kernel import Kernel
 
@@ -26,6 +27,7 @@
 RENDERER_MODULES = (
     'carawaylane.telemetry.exposition',
     'carawaylane.gateway.customer_metrics',
+    'carawaylane.gateway.rejected_metrics',
 )
 LISTEN_BACKLOG = 128
 SHUTDOWN_TIMEOUT_S = 1.0
@@ -55,6 +57,7 @@
         self._dispatchers = self.kernel.find('dispatchers')
         self._exchanges = self.kernel.find('exchanges')
         self._server = Server(self._handle, access_log=None)
+        self._metrics.add_collector(self._load_rejected)
         cfg = self.kernel.cfg
         host, _, ready_port = cfg.ready_listen.rpartition(':')
         for port in (int(ready_port), cfg.metrics_port):
@@ -97,6 +100,11 @@
             body=self._metrics.exposition(), content_type='text/plain'
         )
 
+    def _load_rejected(self) -> Collector:
+        from carawaylane.gateway.rejected_metrics import RejectedMetrics
+
+        return RejectedMetrics(rejected=self._directory.rejected)
+
     def _update_gauges(self) -> None:
         gauge = self._metrics.gauge
         plan = self._directory.plan
@@ -109,6 +117,7 @@
             era_of(max(r.revision for r in self._directory.replicas.values())),
         )
         gauge('members', len(self._directory.members))
+        gauge('entries_rejected', len(self._directory.rejected.current()))
         gauge('connections_opened', self._exchanges.pool.opened)
         gauge('log_dropped', dropped_lines())
         for kind, replica in self._directory.replicas.items():
--- a/carawaylane/gateway/store_watch.py
+++ b/carawaylane/gateway/store_watch.py
@@ -89,7 +89,10 @@
     def __init__(self, *, kernel: Kernel) -> None:
         super().__init__(kernel=kernel)
         cfg = kernel.cfg
-        self.store = ObjectStoreClient(address=cfg.store_address)
+        self.store = ObjectStoreClient(
+            address=cfg.store_address,
+            on_rejected=kernel.find('directory').rejected.add,
+        )
         self._store_is_up = True
         # Whether this node watches the store for its data centre.
         self._on_duty = False
--- a/carawaylane/gateway/target_connections.py
+++ b/carawaylane/gateway/target_connections.py
@@ -10,6 +10,7 @@
 
 from attrs import define, field
 
+from carawaylane.kernel.addresses import split_address
 from carawaylane.services.response_handler import BoundedResponseHandler
 
 if TYPE_CHECKING:
@@ -112,11 +113,11 @@
     async def open(self, address: str) -> Connection:
         """Return a new connection to an address, or raise OSError."""
         loop: AbstractEventLoop = get_running_loop()
-        host, _, port = address.rpartition(':')
+        host, port = split_address(address)
         self.opened += 1
         number = self.opened
         transport, protocol = await loop.create_connection(
-            lambda: ResponseHandler(loop), host, int(port)
+            lambda: ResponseHandler(loop), host, port
         )
         sock = transport.get_extra_info('socket')
         sock.setsockopt(
--- a/carawaylane/messages/stored_objects.py
+++ b/carawaylane/messages/stored_objects.py
@@ -33,6 +33,10 @@
     __hash__ = object.__hash__
 
 
+# The kinds by their number in messages; a newer build may know others.
+KIND_BY_NUMBER = {kind.value: kind for kind in ObjectKind}
+
+
 @frozen(kw_only=True, repr=False)
 class StoredObject:
     """An object at the revision of its last change.
--- a/carawaylane/platform/documents.py
+++ b/carawaylane/platform/documents.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from functools import lru_cache
-from json import dumps, loads
+from json import JSONEncoder, loads
 from typing import TYPE_CHECKING, Any
 
 from carawaylane.decisions.customers.keys import key_digest
+from carawaylane.kernel.addresses import is_address
 from carawaylane.messages.platform_objects import (
     DEFAULT_LINK_MBPS,
     MS_PER_S,
@@ -58,9 +59,13 @@
 )
 
 
+MAX_REASON_CHARS = 200
+_encode = JSONEncoder(separators=(',', ':')).encode
+
+
 def encode_json(value: Any) -> bytes:
     """Return a value as compact JSON."""
-    return dumps(value, separators=(',', ':')).encode()
+    return _encode(value).encode()
 
 
 def decode_plan(name: str, data: bytes) -> Plan | InvalidObject:
@@ -92,7 +97,12 @@
     try:
         return parse(_loads(data))
     except DECODE_ERRORS as exc:
-        return InvalidObject(name=name, reason=f'{type(exc).__name__}: {exc}')
+        return InvalidObject(name=name, reason=reason_of(exc))
+
+
+def reason_of(exc: Exception) -> str:
+    """Return why an object is rejected, in few words."""
+    return f'{type(exc).__name__}: {exc}'[:MAX_REASON_CHARS]
 
 
 def _loads(data: bytes) -> Any:
@@ -196,7 +206,7 @@
     priority = spec.get('priority')
     return Route(
         name=_require_string(spec['name']),
-        host=spec['host'].lower(),
+        host=_require_string(spec['host']).lower(),
         prefix=_require_string(spec['path_prefix']),
         idempotent=spec['route_type'] in IDEMPOTENT_ROUTE_TYPES,
         timeout_s=timeout_ms / MS_PER_S,
@@ -220,7 +230,7 @@
     return tuple(
         WeightedService(
             service=_require_string(part['service']),
-            weight=float(part['weight']),
+            weight=_require_number(float(part['weight'])),
         )
         for part in split
     )
@@ -236,8 +246,12 @@
     """Return the limits; a limit that is 0 or missing has its default."""
     defaults = CallerLimits()
     return CallerLimits(
-        header_bytes=spec.get('max_header_bytes') or defaults.header_bytes,
-        body_bytes=spec.get('max_body_bytes') or defaults.body_bytes,
+        header_bytes=_require_integer(
+            spec.get('max_header_bytes') or defaults.header_bytes
+        ),
+        body_bytes=_require_integer(
+            spec.get('max_body_bytes') or defaults.body_bytes
+        ),
         header_timeout_s=_ms_field_to_s(spec, 'header_timeout_ms')
         or defaults.header_timeout_s,
         idle_timeout_s=_ms_field_to_s(spec, 'idle_timeout_ms')
@@ -252,11 +266,11 @@
     # `born` is the Unix time in ms of the target's start, if it is known.
     started_ms = spec.get('born', 0)
     return TargetSpec(
-        name=name,
+        name=_require_name(name),
         service=_require_nonempty_string(spec['service']),
         address=_require_address(spec['address']),
         data_centre=_require_nonempty_string(spec['zone']),
-        slots=_require_positive_integer(spec['slots']),
+        slots=_require_slots(spec['slots']),
         draining=state == 'draining',
         warmup_left_s=_ms_field_to_s(spec, 'warmup_left_ms'),
         started_ms=_require_integer(started_ms),
@@ -265,10 +279,10 @@
 
 def _parse_member(name: str, spec: dict[str, Any]) -> Member:
     return Member(
-        name=name,
+        name=_require_name(name),
         address=_require_address(spec['address']),
         data_centre=_require_nonempty_string(spec['zone']),
-        cores=float(spec['cores']),
+        cores=_require_number(spec['cores']),
         link_mbps=_parse_link(spec.get('link_mbps')),
     )
 
@@ -282,13 +296,38 @@
 
 def _ms_field_to_s(spec: dict[str, Any], key: str) -> float:
     """Return a field in ms as seconds, 0 if it is missing."""
-    return float(spec.get(key) or 0) / MS_PER_S
+    return _require_number(spec.get(key) or 0) / MS_PER_S
+
+
+def _require_name(name: str) -> str:
+    """Return a name that messages, log lines and headers can carry."""
+    if not is_header_value(name):
+        raise ValueError('the name can not be sent in a header')
+    return name
+
+
+def is_text(value: Any) -> bool:
+    """Return whether a value is a string that messages can carry."""
+    if not isinstance(value, str):
+        return False
+    try:
+        return value.isascii() or bool(value.encode())
+    except UnicodeEncodeError:
+        return False
 
 
 def _require_nonempty_string(value: Any) -> str:
-    if not isinstance(value, str) or not value:
+    if not value or not is_text(value):
         raise ValueError(f'{value!r} is not a non-empty string')
-    return value
+    return str(value)
+
+
+def _require_number(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise ValueError(f'{value!r} is not a number')
+    if not 0 <= value <= MAX_UINT32:
+        raise ValueError('a number is negative or too large')
+    return float(value)
 
 
 def _require_integer(value: Any) -> int:
@@ -318,19 +357,18 @@
 
 
 def _require_string(value: Any) -> str:
-    if not isinstance(value, str):
+    if not is_text(value):
         raise ValueError(f'{value!r} is not a string')
-    return value
+    return str(value)
 
 
-def _require_positive_integer(value: Any) -> int:
-    if _require_integer(value) <= 0:
+def _require_slots(value: Any) -> int:
+    if _require_uint32(value) <= 0:
         raise ValueError(f'{value!r} is not positive')
-    return value
+    return int(value)
 
 
 def _require_address(value: Any) -> str:
-    host, _, port = _require_nonempty_string(value).rpartition(':')
-    if not host or not 0 < int(port) < 65536:
+    if not isinstance(value, str) or not is_address(value):
         raise ValueError(f'{value!r} is not an address of the form host:port')
     return value
--- a/carawaylane/platform/eras.py
+++ b/carawaylane/platform/eras.py
@@ -20,6 +20,7 @@
 
 ERA_HEADER = 'Store-Era'
 MAX_ERA = 2 ** (63 - REVISION_BITS) - 1
+MAX_DIGITS = len(str(MAX_ERA))
 
 
 def combine(era: int, revision: int) -> int:
@@ -40,8 +41,10 @@
     def read(self, headers: Mapping[str, str]) -> int:
         """Return the era of an answer; log it once if it can't be read."""
         text = headers.get(ERA_HEADER, '')
-        if text.isascii() and text.isdigit() and int(text) <= MAX_ERA:
-            self.era = int(text)
+        # More digits than `int` takes would make the whole answer invalid.
+        digits = text.lstrip('0')[: MAX_DIGITS + 1] or '0'
+        if text.isascii() and text.isdigit() and int(digits) <= MAX_ERA:
+            self.era = int(digits)
             return self.era
         if text != self._reported:
             self._reported = text
--- a/carawaylane/platform/objects.py
+++ b/carawaylane/platform/objects.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from json import loads
+from re import compile as compile_pattern
 from typing import TYPE_CHECKING, Any
 
 from aiohttp import (
@@ -15,39 +15,41 @@
 from attrs import evolve, frozen
 
 from carawaylane.kernel.steps import run_in_steps
+from carawaylane.messages.platform_objects import InvalidObject
 from carawaylane.messages.stored_objects import (
+    REVISION_BITS,
     ObjectDelta,
     ObjectKind,
     StoredObject,
     era_of,
     revision_in_era,
 )
-from carawaylane.platform.documents import COLLECTIONS, encode_json
-from carawaylane.platform.eras import EraReader, combine
-from carawaylane.platform.stepwise_json import (
-    decode_in_steps,
-    encode_in_steps,
+from carawaylane.platform.documents import (
+    COLLECTIONS,
+    DECODE_ERRORS,
+    encode_json,
+    is_text,
+    reason_of,
 )
+from carawaylane.platform.eras import EraReader, combine
+from carawaylane.platform.pages import Undecoded, decode_page
+from carawaylane.platform.stepwise_json import encode_in_steps
 from carawaylane.storage.driver import Unavailable
 
 if TYPE_CHECKING:
-    from collections.abc import Generator
+    from collections.abc import Callable, Generator
+
+    OnRejected = Callable[[ObjectKind, InvalidObject, int], object]
 
 # A healthy store answers within milliseconds, but a slow one is still used.
 CALL_TIMEOUT_S = 1.5
 CONNECT_TIMEOUT_S = 0.5
-# Configurations above this size are decoded in steps.
-LARGE_BODY_BYTES = 32 << 10
 # Time for the answer to a watch, added to the wait that the watch asks for.
 WATCH_MARGIN_S = 0.7
-# A RecursionError comes from an answer that is nested too deeply.
-CALL_ERRORS = (
-    TimeoutError,
-    ClientError,
-    OSError,
-    ValueError,
-    RecursionError,
-)
+CALL_ERRORS = (TimeoutError, ClientError, OSError, ValueError)
+# Sorts after the surrogates, which no request can carry.
+AFTER_SURROGATES = '\ue000'
+_SURROGATE = compile_pattern('[\ud800-\udfff]')
 OK = 200
 CREATED = 201
 NOT_FOUND = 404
@@ -61,10 +63,21 @@
 
 
 class ObjectStoreClient:
-    """Lists, watches, writes and deletes objects of the platform."""
+    """Lists, watches, writes and deletes objects of the platform.
 
-    def __init__(self, *, address: str) -> None:
+    `on_rejected` is called with the kind and the revision of an object that
+    has no name under which it could be known. Others that can't be read are
+    passed on with their revision, and are rejected by the decoder of the kind.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        on_rejected: OnRejected = lambda *_: None,
+    ) -> None:
         self._url = f'http://{address}'
+        self._on_rejected = on_rejected
         self._session: ClientSession | None = None
         self._eras = EraReader()
 
@@ -85,23 +98,30 @@
             resp = await self._call('GET', _path(kind), params=params)
             if isinstance(resp, Unavailable):
                 return resp
-            status, page, era = resp
+            status, body, era = resp
             if status != OK:
                 return Unavailable(reason=f'status {status}')
             eras.add(era)
             if len(eras) > 1:
                 return Unavailable(reason='restored during the list')
             try:
-                items += await run_in_steps(_parse_items(page['items'], era))
+                page = await run_in_steps(_decode(kind, body))
+                page_revision = combine(era, _revision(page['current_rev']))
+                raw_items = _require_list(page['items'])
                 # The revision of the first page: a watch from there returns
                 # the changes that were made while later pages were fetched.
-                revision = revision or combine(era, page['current_rev'])
-                if not page.get('more') or not items:
+                revision = revision or page_revision
+                items += await run_in_steps(
+                    self._parse_items(kind, raw_items, page_revision)
+                )
+                if not page.get('more') or not raw_items:
                     return ObjectDelta(items=tuple(items), revision=revision)
-                after = items[-1].name
-            except (KeyError, TypeError, AttributeError) as exc:
+                before, after = after, _next_after(raw_items, after)
+                if after == before:
+                    return Unavailable(reason='a list that does not end')
+            except DECODE_ERRORS as exc:
                 return Unavailable(
-                    reason=f'malformed list of objects: {exc!r}'
+                    reason=f'malformed list of objects: {reason_of(exc)}'
                 )
 
     async def watch(
@@ -124,19 +144,26 @@
         )
         if isinstance(resp, Unavailable):
             return resp
-        status, page, era = resp
+        status, body, era = resp
         if status == GONE or era != era_of(revision):
             return HistoryExpired()
         if status != OK:
             return Unavailable(reason=f'status {status}')
         try:
+            page = await run_in_steps(_decode(kind, body))
+            page_revision = combine(era, _revision(page['current_rev']))
+            events = _require_list(page['events'])
             return ObjectDelta(
-                items=await run_in_steps(_parse_events(page, era)),
-                revision=combine(era, page['current_rev']),
+                items=await run_in_steps(
+                    self._parse_events(kind, events, page_revision)
+                ),
+                revision=page_revision,
                 base=revision,
             )
-        except (KeyError, TypeError, AttributeError) as exc:
-            return Unavailable(reason=f'malformed list of events: {exc!r}')
+        except DECODE_ERRORS as exc:
+            return Unavailable(
+                reason=f'malformed list of events: {reason_of(exc)}'
+            )
 
     async def create(
         self, kind: ObjectKind, name: str, spec: Any
@@ -177,8 +204,8 @@
         timeout_s: float = CALL_TIMEOUT_S,
         body: Any = None,
         **kwargs: Any,
-    ) -> tuple[int, Any, int] | Unavailable:
-        """Return the status, the decoded body and the era of the response."""
+    ) -> tuple[int, bytes, int] | Unavailable:
+        """Return the status, the body and the era of the response."""
         if self._session is None:
             self._session = ClientSession(
                 connector=TCPConnector(limit=0, keepalive_timeout=5.0),
@@ -195,70 +222,117 @@
                 if resp.status >= 500 or resp.status == 429:
                     return Unavailable(reason=f'status {resp.status}')
                 era = self._eras.read(resp.headers)
-                return (
-                    resp.status,
-                    await _decode_body(path, await resp.read()),
-                    era,
-                )
+                return resp.status, await resp.read(), era
         except CALL_ERRORS as exc:
             return Unavailable(reason=type(exc).__name__)
 
+    def _parse_items(
+        self, kind: ObjectKind, raw_items: list[Any], page_revision: int
+    ) -> Generator[None, None, list[StoredObject]]:
+        """Return the objects of a page, without those that have no name."""
+        items = []
+        for raw_item in raw_items:
+            item = yield from self._parse_item(kind, raw_item, page_revision)
+            if item is not None:
+                items.append(item)
+        return items
+
+    def _parse_events(
+        self, kind: ObjectKind, events: list[Any], page_revision: int
+    ) -> Generator[None, None, tuple[StoredObject, ...]]:
+        """Return the last state of each object that changed."""
+        items: dict[str, StoredObject] = {}
+        for event in events:
+            raw_item = event.get('object') if isinstance(event, dict) else None
+            item = yield from self._parse_item(kind, raw_item, page_revision)
+            if item is None:
+                continue
+            if event.get('deleted'):
+                # The object of a deletion event has the revision of its last
+                # change, so the deletion gets the revision of the page. It
+                # would hide a later event of the same object.
+                item = evolve(item, data=None, revision=page_revision)
+            items[item.name] = item
+        return tuple(items.values())
+
+    def _parse_item(
+        self, kind: ObjectKind, raw_item: Any, page_revision: int
+    ) -> Generator[None, None, StoredObject | None]:
+        """Return an object, None if it has no name that can be used.
+
+        One whose revision or value can't be read has a value that no decoder
+        takes, so that it replaces what was known of the object before.
+        """
+        name = ''
+        revision = page_revision
+        data = b''
+        try:
+            metadata = raw_item['metadata']
+            name = metadata['name']
+            if not name or not is_text(name):
+                raise ValueError('the name is no text')
+            spec = raw_item.get('spec')
+        except DECODE_ERRORS as exc:
+            invalid = InvalidObject(name=f'{name!a}', reason=reason_of(exc))
+            self._on_rejected(kind, invalid, _own_revision(raw_item))
+            return None
+        try:
+            revision = combine(
+                era_of(page_revision), _revision(metadata['revision'])
+            )
+            if isinstance(spec, Undecoded):
+                data = spec.text
+            else:
+                data = yield from encode_in_steps(spec)
+        except DECODE_ERRORS:
+            data = b''
+        return StoredObject(name=name, revision=revision, data=data)
+
 
 def _path(kind: ObjectKind, *names: str) -> str:
     return '/'.join(('/objects', COLLECTIONS[kind], *names))
 
 
-async def _decode_body(path: str, body: bytes) -> Any:
-    """Return the value of a body; raise `ValueError` if it is invalid.
+def _decode(kind: ObjectKind, body: bytes) -> Generator[None, None, Any]:
+    """Return the value of a page; a large one would block the event loop."""
+    return decode_page(body, may_be_large=kind is ObjectKind.PLAN)
 
-    A large configuration would block the event loop.
-    """
-    is_large = len(body) > LARGE_BODY_BYTES
-    if is_large and path == _path(ObjectKind.PLAN):
-        return await run_in_steps(decode_in_steps(body))
-    return loads(body) if body.strip() else None
-
-
-def _parse_items(
-    raw_items: list[Any], era: int
-) -> Generator[None, None, list[StoredObject]]:
-    """Return the objects of a page, without those that are malformed."""
-    items = []
-    for raw_item in raw_items:
-        item = yield from _parse_item(raw_item, era)
-        if item is not None:
-            items.append(item)
-    return items
-
-
-def _parse_events(
-    page: dict[str, Any], era: int
-) -> Generator[None, None, tuple[StoredObject, ...]]:
-    """Return the last state of each object that changed."""
-    items: dict[str, StoredObject] = {}
-    for event in page['events']:
-        item = yield from _parse_item(event.get('object'), era)
-        if item is not None and event.get('deleted'):
-            # The object of a deletion event has the revision of its last
-            # change, so the deletion gets the revision of the page. It would
-            # hide a later event of the same object.
-            item = evolve(
-                item, data=None, revision=combine(era, page['current_rev'])
-            )
-        if item is not None:
-            items[item.name] = item
-    return tuple(items.values())
+
+def _revision(value: Any) -> int:
+    if type(value) is int and 0 <= value < 1 << REVISION_BITS:
+        return value
+    raise ValueError('not a revision')
 
 
-def _parse_item(
-    raw_item: Any, era: int
-) -> Generator[None, None, StoredObject | None]:
+def _own_revision(raw_item: Any) -> int:
+    """Return the revision of an object within its era, 0 if unknown."""
     try:
-        metadata = raw_item['metadata']
-        return StoredObject(
-            name=metadata['name'],
-            revision=combine(era, metadata['revision']),
-            data=(yield from encode_in_steps(raw_item.get('spec'))),
-        )
-    except (KeyError, TypeError, AttributeError):
-        return None
+        return _revision(raw_item['metadata']['revision'])
+    except DECODE_ERRORS:
+        return 0
+
+
+def _require_list(value: Any) -> list[Any]:
+    if not isinstance(value, list):
+        raise ValueError('not a list')
+    return value
+
+
+def _next_after(raw_items: list[Any], after: str) -> str:
+    """Return the name after which the next page starts.
+
+    It is that of the last object that has one. If none has, it is a name
+    after all that begin like the last one up to its unreadable part.
+    """
+    last = ''
+    for raw_item in reversed(raw_items):
+        try:
+            name = raw_item['metadata']['name']
+        except DECODE_ERRORS:
+            continue
+        if is_text(name):
+            return str(name) or after
+        if isinstance(name, str):
+            last = last or name
+    readable, *_ = _SURROGATE.split(last, maxsplit=1)
+    return readable + AFTER_SURROGATES if last else after
--- a/carawaylane/platform/segmenting.py
+++ b/carawaylane/platform/segmenting.py
@@ -16,6 +16,7 @@
     STEP_SEGMENTS,
     SplitText,
 )
+from carawaylane.platform.documents import is_text
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Generator
@@ -197,6 +198,9 @@
         return position + 1
 
     def _add(self, key: str, start: int) -> None:
+        # Messages carry the keys.
+        if not is_text(key):
+            raise ValueError('a key with a surrogate')
         if key in self._seen:
             raise ValueError('a name occurs twice')
         self._seen.add(key)
