--- a/carawaylane/commands/cli.py
+++ b/carawaylane/commands/cli.py
@@ -19,6 +19,7 @@
 )
 from carawaylane.commands.gateway_commands import (
     check_settings,
+    entries,
     gateways,
     where,
     why,
@@ -262,6 +263,7 @@
 
 
 status_app.command()(gateways)
+status_app.command()(entries)
 
 
 def main() -> None:
--- a/carawaylane/commands/gateway_commands.py
+++ b/carawaylane/commands/gateway_commands.py
@@ -6,13 +6,17 @@
 from asyncio import run as run_async
 from json import dumps
 from pathlib import Path
-from typing import Annotated
+from typing import TYPE_CHECKING, Annotated
 
 from multidict import CIMultiDict
 from typer import Argument, Exit, Option, echo
 
 from carawaylane.commands.explain import check_settings_file, explain_request
-from carawaylane.commands.gateways import NoMetrics, fetch_gateways
+from carawaylane.commands.gateways import (
+    NoMetrics,
+    fetch_gateways,
+    fetch_rejected,
+)
 from carawaylane.commands.output import (
     EXIT_UNAVAILABLE,
     OutputOption,
@@ -28,6 +32,9 @@
 from carawaylane.messages.outcomes import Problem
 from carawaylane.rpc.fleet_pb2 import LocateRequest
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 # Of a body, on the wire.
 MAX_SIZE = (1 << 32) - 1
 HELP_LOGS = 'Log files of all nodes; standard input by default.'
@@ -96,6 +103,27 @@
     rows = [row for row in results if not isinstance(row, NoMetrics)]
     if rows:
         echo(render(rows, output=output))
+    _exit_if_unavailable(results)
+
+
+def entries(
+    addresses: Annotated[list[str], Argument(help=HELP_METRICS)],
+    output: OutputOption = 'table',
+) -> None:
+    """Show which entries of the store nodes reject, and why."""
+    results = run_async(fetch_rejected(addresses))
+    rows = [
+        row
+        for result in results
+        if not isinstance(result, NoMetrics)
+        for row in result
+    ]
+    if rows or output == 'json':
+        echo(render(rows, output=output))
+    _exit_if_unavailable(results)
+
+
+def _exit_if_unavailable(results: Sequence[object]) -> None:
     failures = [result for result in results if isinstance(result, NoMetrics)]
     for failure in failures:
         echo(f'carawayctl: {failure.address}: {failure.reason}', err=True)
--- a/carawaylane/commands/gateways.py
+++ b/carawaylane/commands/gateways.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from asyncio import gather
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 from attrs import frozen
@@ -17,7 +17,7 @@
 from carawaylane.telemetry.metrics import PREFIX
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from prometheus_client.samples import Sample
 
@@ -43,25 +43,41 @@
 
 
 Row = dict[str, Any]
+Parsed = TypeVar('Parsed')
 
 
 async def fetch_gateways(addresses: Iterable[str]) -> list[Row | NoMetrics]:
     """Return a row for each node, in the order of the addresses."""
+    return await _fetch(addresses, row_from_metrics)
+
+
+async def fetch_rejected(
+    addresses: Iterable[str],
+) -> list[list[Row] | NoMetrics]:
+    """Return a row for each entry that a node rejects, by node."""
+    return await _fetch(addresses, rejected_from_metrics)
+
+
+async def _fetch(
+    addresses: Iterable[str], parse: Callable[[str, str], Parsed]
+) -> list[Parsed | NoMetrics]:
     timeout = ClientTimeout(total=NODE_TIMEOUT_S)
     async with ClientSession(timeout=timeout) as session:
         return await gather(
-            *(_fetch_gateway(session, address) for address in addresses)
+            *(_fetch_page(session, address, parse) for address in addresses)
         )
 
 
-async def _fetch_gateway(
-    session: ClientSession, address: str
-) -> Row | NoMetrics:
+async def _fetch_page(
+    session: ClientSession,
+    address: str,
+    parse: Callable[[str, str], Parsed],
+) -> Parsed | NoMetrics:
     try:
         async with session.get(f'http://{address}{METRICS_PATH}') as resp:
             if resp.status != 200:
                 return NoMetrics(address=address, reason=f'HTTP {resp.status}')
-            return row_from_metrics(address, await resp.text())
+            return parse(address, await resp.text())
     except (ClientError, OSError, ValueError) as exc:
         reason = f'{type(exc).__name__} {exc}'.strip()
         return NoMetrics(address=address, reason=reason)
@@ -72,14 +88,7 @@
 
     Raises ValueError if the page holds no metrics of a node.
     """
-    samples = [
-        sample
-        for family in text_string_to_metric_families(page)
-        for sample in family.samples
-        if sample.name.startswith(PREFIX)
-    ]
-    if not samples:
-        raise ValueError('the page holds no metrics of a node')
+    samples = _samples(page)
     values = {
         sample.name.removeprefix(PREFIX): sample.value for sample in samples
     }
@@ -93,6 +102,30 @@
     return row
 
 
+def rejected_from_metrics(address: str, page: str) -> list[Row]:
+    """Make a row for each entry that a node rejects, and why.
+
+    Raises ValueError if the page holds no metrics of a node.
+    """
+    return [
+        {'node': address, **sample.labels, 'revision': int(sample.value)}
+        for sample in _samples(page)
+        if sample.name == f'{PREFIX}entry_rejected'
+    ]
+
+
+def _samples(page: str) -> list[Sample]:
+    samples = [
+        sample
+        for family in text_string_to_metric_families(page)
+        for sample in family.samples
+        if sample.name.startswith(PREFIX)
+    ]
+    if not samples:
+        raise ValueError('the page holds no metrics of a node')
+    return samples
+
+
 def _counts_by_label(
     samples: Iterable[Sample], name: str, label: str
 ) -> dict[str, int]:
--- a/tests/commands/test_gateways.py
+++ b/tests/commands/test_gateways.py
@@ -56,3 +56,27 @@
 def test_a_page_without_metrics_of_a_node_is_an_error(page):
     with pytest.raises(ValueError, match='.'):
         row_from_metrics('n:1', page)
+
+
+async def test_rejected_entries_are_shown_with_their_reasons(fleet):
+    fleet.store.put('config', 'main', plan_spec())
+    node = await fleet.start_node('n1')
+    name = 'a "b"\\n'
+    fleet.store.put('servers', name, {'state': 'asleep\n'})
+    revision = fleet.store.revision
+    directory = node.find('directory')
+    await fleet.wait_until(lambda: directory.rejected.current())
+    address = f'127.0.0.1:{node.cfg.metrics_port}'
+    result = await to_thread(
+        CliRunner().invoke, app, ['status', 'entries', address, '-o', 'json']
+    )
+    assert result.exit_code == 0, result.output
+    assert loads(result.stdout) == [
+        {
+            'node': address,
+            'kind': 'servers',
+            'name': name,
+            'reason': "ValueError: unknown state 'asleep\\n'",
+            'revision': revision,
+        }
+    ]
