Write the own entry of a node again if it can't be read

A node whose entry among the members was spoiled by another writer was left out of all duties, by all nodes, for good: the check looked only whether there is an entry. It now counts one that can't be read as none.

The test failed before (TimeoutError after 20 s) and passes now: python -m pytest tests/gateway/test_rejected_objects.py -k spoiled

--- a/carawaylane/gateway/registration.py
+++ b/carawaylane/gateway/registration.py
@@ -96,7 +96,8 @@
     async def _registration_loop(self) -> None:
         """Register again if the store no longer lists this node.
 
-        A store that was restored from an older copy has lost the object.
+        A store that was restored from an older copy has lost the object, and
+        another writer may have spoiled it.
         """
         due_at_s: float | None = None
         while True:
@@ -118,11 +119,18 @@
                 emit(WRITE_REPEATED, member=self.kernel.cfg.name)
 
     def _is_unlisted(self) -> bool:
-        """Return whether the copy lacks this node, which has registered."""
+        """Return whether the copy lacks this node, which has registered.
+
+        An entry that can't be read, of another writer, counts as none.
+        """
         replica = self._directory.replicas[ObjectKind.MEMBERS]
         listed = replica.items.get(self.kernel.cfg.name)
         return (
             self._registered
             and replica.revision > 0
-            and (listed is None or listed.data is None)
+            and (
+                listed is None
+                or listed.data is None
+                or self.kernel.cfg.name not in self._directory.members
+            )
         )
--- a/tests/gateway/test_rejected_objects.py
+++ b/tests/gateway/test_rejected_objects.py
@@ -326,6 +326,18 @@
     assert ended(node) is None
 
 
+async def test_a_node_whose_own_entry_is_spoiled_writes_it_again(fleet):
+    """Other nodes left it out of all duties for good."""
+    node = await start_node(fleet)
+    entries = fleet.store.objects['members']
+    await fleet.wait_until(lambda: 'n1' in entries)
+    sound = entries['n1']['spec']
+    fleet.store.put('members', 'n1', sound | {'zone': SURROGATE})
+    await fleet.wait_until(lambda: entries['n1']['spec'] == sound)
+    await fleet.wait_until(lambda: 'n1' in node.find('directory').members)
+    assert ended(node) is None
+
+
 def test_a_large_unreadable_target_hides_no_other_from_peers():
     """It counted as a configuration that the nodes did not have."""
 
