Forget an entry without a readable name once it is removed

It was shown among the rejected ones until the node ended. python -m pytest tests/gateway/test_rejected_objects.py tests/platform: 202 passed.

--- a/carawaylane/gateway/store_watch.py
+++ b/carawaylane/gateway/store_watch.py
@@ -89,9 +89,11 @@
     def __init__(self, *, kernel: Kernel) -> None:
         super().__init__(kernel=kernel)
         cfg = kernel.cfg
+        rejected = kernel.find('directory').rejected
         self.store = ObjectStoreClient(
             address=cfg.store_address,
-            on_rejected=kernel.find('directory').rejected.add,
+            on_rejected=rejected.add,
+            on_gone=rejected.discard,
         )
         self._store_is_up = True
         # Whether this node watches the store for its data centre.
--- a/carawaylane/platform/objects.py
+++ b/carawaylane/platform/objects.py
@@ -40,6 +40,7 @@
     from collections.abc import Callable, Generator
 
     OnRejected = Callable[[ObjectKind, InvalidObject, int], object]
+    OnGone = Callable[[ObjectKind, str], object]
 
 # A healthy store answers within milliseconds, but a slow one is still used.
 CALL_TIMEOUT_S = 1.5
@@ -66,7 +67,8 @@
     """Lists, watches, writes and deletes objects of the platform.
 
     `on_rejected` is called with the kind and the revision of an object that
-    has no name under which it could be known. Others that can't be read are
+    has no name under which it could be known, `on_gone` with the name that it
+    was reported under once it is removed. Others that can't be read are
     passed on with their revision, and are rejected by the decoder of the kind.
     """
 
@@ -75,9 +77,11 @@
         *,
         address: str,
         on_rejected: OnRejected = lambda *_: None,
+        on_gone: OnGone = lambda *_: None,
     ) -> None:
         self._url = f'http://{address}'
         self._on_rejected = on_rejected
+        self._on_gone = on_gone
         self._session: ClientSession | None = None
         self._eras = EraReader()
 
@@ -244,10 +248,13 @@
         items: dict[str, StoredObject] = {}
         for event in events:
             raw_item = event.get('object') if isinstance(event, dict) else None
-            item = yield from self._parse_item(kind, raw_item, page_revision)
+            is_gone = isinstance(event, dict) and bool(event.get('deleted'))
+            item = yield from self._parse_item(
+                kind, raw_item, page_revision, is_gone=is_gone
+            )
             if item is None:
                 continue
-            if event.get('deleted'):
+            if is_gone:
                 # The object of a deletion event has the revision of its last
                 # change, so the deletion gets the revision of the page. It
                 # would hide a later event of the same object.
@@ -256,7 +263,12 @@
         return tuple(items.values())
 
     def _parse_item(
-        self, kind: ObjectKind, raw_item: Any, page_revision: int
+        self,
+        kind: ObjectKind,
+        raw_item: Any,
+        page_revision: int,
+        *,
+        is_gone: bool = False,
     ) -> Generator[None, None, StoredObject | None]:
         """Return an object, None if it has no name that can be used.
 
@@ -274,7 +286,10 @@
             spec = raw_item.get('spec')
         except DECODE_ERRORS as exc:
             invalid = InvalidObject(name=f'{name!a}', reason=reason_of(exc))
-            self._on_rejected(kind, invalid, _own_revision(raw_item))
+            if is_gone:
+                self._on_gone(kind, invalid.name)
+            else:
+                self._on_rejected(kind, invalid, _own_revision(raw_item))
             return None
         try:
             revision = combine(
--- a/tests/gateway/test_rejected_objects.py
+++ b/tests/gateway/test_rejected_objects.py
@@ -197,6 +197,8 @@
     assert 'carawaylane_entries_rejected 2.0' in page
     fleet.store.remove('servers', 'odd')
     await fleet.wait_until(lambda: len(directory.rejected.current()) == 1)
+    fleet.store.remove('servers', SURROGATE)
+    await fleet.wait_until(lambda: not directory.rejected.current())
 
 
 SPECS = {
