Refuse requests on open connections of a stopping entry

Callers of a stopping carawayd that kept their connections had requests taken after the drain grace, up to the drain limit, which cuts what is open then. A body that did not come kept the drain waiting for 30 s.

Such requests now get 503, not run, with Retry-After, and the connection closes. Reading of headers moves to a module of its own for its size.

--- a/carawaylane/services/entry.py
+++ b/carawaylane/services/entry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from asyncio import sleep, timeout
+from asyncio import Timeout, get_running_loop, sleep, timeout
 from collections import Counter
 from contextlib import aclosing
 from typing import TYPE_CHECKING
@@ -21,13 +21,21 @@
     Failed,
     Outcome,
 )
+from carawaylane.services.caller_requests import (
+    KEY_HEADER,
+    MAX_KEY_CHARS,
+    TIMEOUT_HEADER,
+    forwarded_headers,
+    is_valid_key,
+    outcome_of_refusal,
+    timeout_ms,
+)
 from carawaylane.services.caller_responses import (
     ProblemAnswer,
     problem_of,
     problem_response,
     response_headers,
 )
-from carawaylane.services.targets import HOP_BY_HOP_HEADERS
 from carawaylane.telemetry.traces import TRACEPARENT_HEADER, traceparent_of
 
 if TYPE_CHECKING:
@@ -38,25 +46,14 @@
 
 CALLER_HEADER = 'X-Caller'
 LABELS_HEADER = 'X-Labels'
-TIMEOUT_HEADER = 'X-Timeout-Ms'
-KEY_HEADER = 'Idempotency-Key'
 # Path prefix of the resources that the entry serves itself.
 ENTRY_PATH_PREFIX = '/.well-known/carawaylane/'
-MAX_KEY_CHARS = 200
 DRAIN_POLL_S = 0.02
 BODY_TIMEOUT_S = 30.0
-# Request headers that are meant for the entry or that nodes set themselves.
-# They are not forwarded from the caller.
-UNFORWARDED_HEADERS = frozenset(
-    {
-        'x-request-id',
-        'x-deadline',
-        'idempotency-key',
-        'x-timeout-ms',
-        'traceparent',
-        'x-caller',
-        'expect',
-    }
+NODE_STOPS = ProblemAnswer(
+    status=503,
+    reason='this node stops; this attempt did not run',
+    retry_after_ms=200,
 )
 
 
@@ -69,6 +66,10 @@
         self._runner: web.AppRunner | None = None
         self._site: web.TCPSite | None = None
         self._in_flight = 0
+        # Set in a drain, once the load balancer has noticed it.
+        self._refuses_requests = False
+        # Of the bodies that are being read.
+        self._body_timeouts: set[Timeout] = set()
         # Requests in flight by traffic kind and caller.
         self._in_flight_by_caller: Counter[tuple[str, str]] = Counter()
 
@@ -96,8 +97,15 @@
         """Finish the requests in flight and accept no more.
 
         First gives the load balancer time to see that the node isn't ready.
+        Then requests on open connections are refused, also those whose body
+        has not arrived.
         """
         await sleep(self.kernel.cfg.drain_grace_ms / 1000)
+        self._refuses_requests = True
+        now_s = get_running_loop().time()
+        for body_timeout in self._body_timeouts:
+            if not body_timeout.expired():
+                body_timeout.reschedule(now_s)
         if self._site is not None:
             await self._site.stop()
         while self._in_flight:
@@ -189,7 +197,9 @@
     def _check_limits(
         self, kind: TrafficKind, caller: str, http_req: web.Request
     ) -> ProblemAnswer | None:
-        outcome = _outcome_of_refusal(kind, http_req)
+        outcome = outcome_of_refusal(kind, http_req)
+        if self._refuses_requests:
+            return evolve(NODE_STOPS, outcome=outcome)
         if self._in_flight >= self.kernel.cfg.max_in_flight:
             return ProblemAnswer(
                 status=503,
@@ -213,7 +223,7 @@
     ) -> web.StreamResponse:
         req = await self._read_request(http_req, kind, caller)
         if isinstance(req, ProblemAnswer):
-            outcome = _outcome_of_refusal(kind, http_req)
+            outcome = outcome_of_refusal(kind, http_req)
             return self._refuse(evolve(req, outcome=outcome), kind)
         span = self._tracer.start_span(
             'entry', http_req.headers.get(TRACEPARENT_HEADER, '')
@@ -231,12 +241,12 @@
     async def _read_request(
         self, http_req: web.Request, kind: TrafficKind, caller: str
     ) -> Request | ProblemAnswer:
-        timeout_ms = _timeout_ms(http_req, kind)
-        if timeout_ms is None:
+        time_ms = timeout_ms(http_req, kind)
+        if time_ms is None:
             reason = f'{TIMEOUT_HEADER} is not a positive whole number'
             return ProblemAnswer(status=400, reason=reason)
         key = http_req.headers.get(KEY_HEADER, '') if kind.unsafe else ''
-        if not _is_valid_key(key):
+        if not is_valid_key(key):
             reason = f'{KEY_HEADER} is longer than {MAX_KEY_CHARS} characters'
             return ProblemAnswer(status=400, reason=reason)
         body = await self._read_body(http_req)
@@ -250,10 +260,10 @@
             caller=caller,
             method=http_req.method,
             path=http_req.raw_path,
-            headers=_forwarded_headers(http_req),
+            headers=forwarded_headers(http_req),
             body=body,
             key=key,
-            deadline_ms=now_ms + timeout_ms,
+            deadline_ms=now_ms + time_ms,
             accepted_ms=now_ms,
             digest=request_digest(
                 kind.service, http_req.method, http_req.raw_path, body
@@ -270,14 +280,19 @@
         if (http_req.content_length or 0) > max_bytes:
             return too_large
         try:
-            async with timeout(BODY_TIMEOUT_S):
+            async with timeout(BODY_TIMEOUT_S) as body_timeout:
+                self._body_timeouts.add(body_timeout)
                 body = await http_req.read()
         except web.HTTPRequestEntityTooLarge:
             return too_large
         except TimeoutError:
+            if self._refuses_requests:
+                return NODE_STOPS
             return ProblemAnswer(
                 status=408, reason='the body did not come in time'
             )
+        finally:
+            self._body_timeouts.discard(body_timeout)
         return too_large if len(body) > max_bytes else body
 
     async def _send_answer(
@@ -352,41 +367,7 @@
     ) -> web.Response:
         kind_name = kind.name if kind else ''
         self._metrics.count('requests', kind=kind_name, outcome='Refused')
-        return problem_response(refusal, uuid4().hex)
-
-
-def _is_valid_key(key: str) -> bool:
-    return len(key) <= MAX_KEY_CHARS and key.isprintable()
-
-
-def _outcome_of_refusal(kind: TrafficKind, http_req: web.Request) -> str:
-    """Return the outcome to report if the entry refuses a request.
-
-    It is unknown if the request has a key, as an earlier attempt with the
-    same key may have run.
-    """
-    key = http_req.headers.get(KEY_HEADER, '')
-    has_key = kind.unsafe and key != '' and _is_valid_key(key)
-    return 'unknown' if has_key else 'not-run'
-
-
-def _timeout_ms(http_req: web.Request, kind: TrafficKind) -> int | None:
-    """Return the timeout of a request, None if its header is invalid.
-
-    A caller can shorten the timeout of the traffic kind, not extend it.
-    """
-    text = http_req.headers.get(TIMEOUT_HEADER)
-    if text is None:
-        return kind.timeout_ms
-    if not text.isdecimal() or int(text) <= 0:
-        return None
-    return min(int(text), kind.timeout_ms)
-
-
-def _forwarded_headers(http_req: web.Request) -> tuple[tuple[str, str], ...]:
-    return tuple(
-        (name, value)
-        for name, value in http_req.headers.items()
-        if name.lower() not in HOP_BY_HOP_HEADERS
-        and name.lower() not in UNFORWARDED_HEADERS
-    )
+        resp = problem_response(refusal, uuid4().hex)
+        if self._refuses_requests:
+            resp.force_close()
+        return resp
