--- a/carawaylane/gateway/caller_requests.py
+++ b/carawaylane/gateway/caller_requests.py
@@ -27,7 +27,7 @@
     read_key,
     read_request_headers,
 )
-from carawaylane.services.targets import HOP_BY_HOP_HEADERS
+from carawaylane.services.target_headers import HOP_BY_HOP_HEADERS
 
 if TYPE_CHECKING:
     from aiohttp.web_request import BaseRequest
--- a/carawaylane/gateway/target_messages.py
+++ b/carawaylane/gateway/target_messages.py
@@ -10,8 +10,8 @@
     read_response_headers,
     target_request_headers,
 )
+from carawaylane.services.target_headers import HOP_BY_HOP_HEADERS
 from carawaylane.services.targets import (
-    HOP_BY_HOP_HEADERS,
     BrokenExchange,
     CompleteAnswer,
     RefusedByTarget,
--- a/carawaylane/services/caller_requests.py
+++ b/carawaylane/services/caller_requests.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from carawaylane.services.targets import HOP_BY_HOP_HEADERS
+from carawaylane.services.target_headers import HOP_BY_HOP_HEADERS
 
 if TYPE_CHECKING:
     from aiohttp import web
--- a/carawaylane/services/targets.py
+++ b/carawaylane/services/targets.py
@@ -20,7 +20,6 @@
     TCPConnector,
 )
 from attrs import define, frozen
-from multidict import CIMultiDict
 
 from carawaylane.gateway.streamed_answers import AnswerStream
 from carawaylane.kernel.timeouts import ReplyTimeout
@@ -30,6 +29,11 @@
     Headers,
 )
 from carawaylane.services.response_handler import BoundedResponseHandler
+from carawaylane.services.target_headers import (
+    REQUEST_ID_HEADER,
+    answer_headers,
+    target_headers,
+)
 
 if TYPE_CHECKING:
     from carawaylane.messages.exchange import Request
@@ -41,26 +45,7 @@
 KEEPALIVE_S = 15.0
 READ_CHUNK_BYTES = 65536
 MIN_ERROR_STATUS = 400
-REQUEST_ID_HEADER = 'X-Request-Id'
-DEADLINE_HEADER = 'X-Deadline'
 LEAVING_HEADER = 'X-Leaving'
-# Headers that are not copied when a message is forwarded. Most apply to one
-# connection only. Content-Encoding does not apply to request bodies, as the
-# entry has decompressed them.
-HOP_BY_HOP_HEADERS = frozenset(
-    {
-        'connection',
-        'content-length',
-        'content-encoding',
-        'host',
-        'keep-alive',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-    }
-)
 
 
 @frozen(kw_only=True, repr=False)
@@ -249,7 +234,7 @@
                 resp = await session.request(
                     req.method,
                     f'http://{self.address}{req.path}',
-                    headers=_target_headers(req),
+                    headers=target_headers(req),
                     data=req.body or None,
                     timeout=timeouts,
                     allow_redirects=False,
@@ -329,7 +314,7 @@
                 if len(buffered) > options.max_buffered_bytes:
                     return StreamedAnswer(
                         status=resp.status,
-                        headers=_answer_headers(resp),
+                        headers=answer_headers(resp),
                         body=bytes(buffered),
                         rest=rest,
                     )
@@ -337,7 +322,7 @@
             return BrokenExchange(reason=f'truncated: {exc}')
         return CompleteAnswer(
             status=resp.status,
-            headers=_answer_headers(resp),
+            headers=answer_headers(resp),
             body=bytes(buffered),
         )
 
@@ -373,30 +358,3 @@
                 resp.release()
         else:
             resp.close()
-
-
-def _target_headers(req: Request) -> CIMultiDict[str]:
-    headers = CIMultiDict(
-        (name, value)
-        for name, value in req.headers
-        if name.lower() not in HOP_BY_HOP_HEADERS
-    )
-    headers[REQUEST_ID_HEADER] = req.request_id
-    headers[DEADLINE_HEADER] = str(req.deadline_ms)
-    headers['X-Caller'] = req.caller
-    if req.key:
-        headers['Idempotency-Key'] = req.key
-    if req.trace_parent:
-        headers['traceparent'] = req.trace_parent
-    return headers
-
-
-def _answer_headers(resp: ClientResponse) -> Headers:
-    # The client session does not decompress answers.
-    # A target may put a space behind a name, which a proxy removes.
-    return tuple(
-        (name, value)
-        for spaced_name, value in resp.headers.items()
-        if (name := spaced_name.rstrip()).lower() not in HOP_BY_HOP_HEADERS
-        or name.lower() == 'content-encoding'
-    )
