Let a silent target end no streamed answer that has time left

The stream now waits as long as the request has time, and 5 s after that, which is never shorter than before.

--- a/carawaylane/gateway/exchanges.py
+++ b/carawaylane/gateway/exchanges.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from asyncio import sleep, timeout
+from asyncio import get_running_loop, sleep, timeout
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
@@ -204,6 +204,7 @@
             partial(self._is_foreign, conn, target, request.request_id)
         )
         conn.add_request(request)
+        sent_at_s = get_running_loop().time()
         conn.transport.write(
             request_head(request, target, time_left_s) + request.body
         )
@@ -241,7 +242,9 @@
             return result
         result = check_answer(message, b'', request)
         if isinstance(result, CompleteAnswer):
-            return evolve(result, stream=self._stream(message, body, request))
+            deadline_s = sent_at_s + time_left_s
+            stream = self._stream(message, body, request, deadline_s)
+            return evolve(result, stream=stream)
         conn.protocol.force_close()
         return result
 
@@ -288,7 +291,11 @@
         return request.holding.budget.buffer_limit()
 
     def _stream(
-        self, message: Any, body: _PartialBody, request: OutgoingRequest
+        self,
+        message: Any,
+        body: _PartialBody,
+        request: OutgoingRequest,
+        deadline_s: float,
     ) -> AnswerStream:
         assert request.holding is not None
         return AnswerStream(
@@ -297,6 +304,7 @@
             pending=body.pending,
             length=content_length(message),
             holding=request.holding,
+            deadline_s=deadline_s,
         )
 
     async def _read_body(
--- a/carawaylane/gateway/streamed_answers.py
+++ b/carawaylane/gateway/streamed_answers.py
@@ -2,7 +2,15 @@
 
 from __future__ import annotations
 
-from asyncio import CancelledError, Event, Task, create_task, sleep, timeout
+from asyncio import (
+    CancelledError,
+    Event,
+    Task,
+    create_task,
+    get_running_loop,
+    sleep,
+    timeout,
+)
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -16,8 +24,9 @@
 
     from carawaylane.decisions.admission.memory_budget import Holding
 
-# A target that sends nothing for this long has broken off.
-SILENCE_S = 5.0
+# A target may be silent as long as the request has time, and this long after
+# it: a caller that reads slowly still gets what the target goes on sending.
+LATE_SILENCE_S = 5.0
 # While no memory is left, the target is read again after this time. It cuts
 # off an answer that stays unread for seconds.
 MEMORY_RETRY_S = 0.02
@@ -51,6 +60,7 @@
         pending: bytes,
         length: int | None,
         holding: Holding,
+        deadline_s: float,
     ) -> None:
         # Total length of the body, None if the target did not say.
         self.length = length
@@ -59,6 +69,8 @@
         # Read already, but there was no memory for it.
         self._pending = pending
         self._holding = holding
+        # Of the request, a time of the event loop.
+        self._deadline_s = deadline_s
         self._held_bytes = sum(map(len, chunks))
         self._task: Task[None] | None = None
         self._changed = Event()
@@ -121,7 +133,8 @@
             self._end(complete)
 
     async def _next_chunk(self) -> bytes:
-        async with timeout(SILENCE_S):
+        left_s = self._deadline_s - get_running_loop().time()
+        async with timeout(max(left_s, LATE_SILENCE_S)):
             return await self._payload.read(READ_BYTES)
 
     async def _hold(self, size: int) -> None:
