Keep little of a streamed answer beyond the memory budget

Cause: aiohttp keeps up to 512 KB of a body that is not read, and the rest of a read of up to 256 KB, in no account of the budget. A stream is accepted for 64 KB, so 819 of them passed a budget of 64 MB. Targets are now read 16 KB at a time, and 32 KB are kept of a body, or 1,024 chunks of it.

--- a/carawaylane/gateway/exchanges.py
+++ b/carawaylane/gateway/exchanges.py
@@ -48,6 +48,9 @@
 
 CONNECT_TIMEOUT_S = 0.3
 MAX_HEADER_LINE_BYTES = 65536
+# What aiohttp keeps of a body before it is read: up to twice READ_BYTES, or a
+# sixteenth of this many chunks.
+READ_BUFFER_BYTES = 16 << 10
 MIN_SERVER_ERROR_STATUS = 500
 ExchangeResult = CompleteAnswer | NeverSent | RefusedByTarget | BrokenExchange
 
@@ -192,6 +195,7 @@
             skip_payload=request.method == 'HEAD',
             read_until_eof=True,
             auto_decompress=False,
+            read_bufsize=READ_BUFFER_BYTES,
             max_line_size=MAX_HEADER_LINE_BYTES,
             max_field_size=MAX_HEADER_LINE_BYTES,
         )
--- a/carawaylane/gateway/streamed_answers.py
+++ b/carawaylane/gateway/streamed_answers.py
@@ -23,7 +23,7 @@
 MEMORY_RETRY_S = 0.02
 # A chunk as large as all that has arrived may not fit into what a connection
 # may hold, which a stream would then wait for in vain.
-READ_BYTES = 32 << 10
+READ_BYTES = 16 << 10
 # Pieces are joined up to this size, since each one takes some 40 bytes more
 # than its length, and a target may send a byte at a time.
 JOINED_PIECE_BYTES = 1024
--- a/carawaylane/gateway/target_connections.py
+++ b/carawaylane/gateway/target_connections.py
@@ -10,6 +10,7 @@
 
 from attrs import define, field
 
+from carawaylane.gateway.small_reads import SmallReads
 from carawaylane.services.response_handler import BoundedResponseHandler
 
 if TYPE_CHECKING:
@@ -115,15 +116,15 @@
         host, _, port = address.rpartition(':')
         self.opened += 1
         number = self.opened
-        transport, protocol = await loop.create_connection(
-            lambda: ResponseHandler(loop), host, int(port)
+        transport, reads = await loop.create_connection(
+            lambda: SmallReads(handler=ResponseHandler(loop)), host, int(port)
         )
         sock = transport.get_extra_info('socket')
         sock.setsockopt(
             IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
         )
         return Connection(
-            number=number, protocol=protocol, transport=transport
+            number=number, protocol=reads.handler, transport=transport
         )
 
     def take(
