--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from carawaylane.rpc.fleet_pb2 import RelayReply, RelayRequest
 from standins.raw_target import OK, Reply
 from tests.gateway.conftest import fetch, plan_spec, route_spec
 
@@ -160,3 +161,30 @@
     node, _ = await start_node(fleet, reply)
     response = await fetch(node, '/write/x', method='POST')
     assert (response.status, response.body) == (200, b'ok')
+
+
+RELAYED = ENDLESS_HEADS | ENDLESS_BODIES | ENDLESS_FRAMING
+
+
+@pytest.mark.parametrize('reply', RELAYED)
+async def test_an_answer_to_a_request_of_a_peer_is_cut_off(fleet, reply):
+    node, target = await start_node(fleet, RELAYED[reply])
+    address = node.find('directory').targets['i-1'].address
+    replies = await gather(
+        *(
+            node.find('target_paths').relay(
+                RelayRequest(
+                    target='i-1',
+                    address=address,
+                    method='POST',
+                    path=b'/write/x',
+                    request_id=f'r{number}',
+                    left_ms=1000 * TIMEOUT_S,
+                )
+            )
+            for number in range(CALLERS)
+        )
+    )
+    assert {reply.result for reply in replies} == {RelayReply.BROKEN}
+    assert not any(reply.timed_out for reply in replies)
+    assert sum(target.endless_bytes) <= MAX_ALL_BYTES + CALLERS * SOCKET_BYTES
