--- a/carawaylane/gateway/target_connections.py
+++ b/carawaylane/gateway/target_connections.py
@@ -10,6 +10,7 @@
 
 from attrs import define, field
 
+from carawaylane.gateway.small_reads import SmallReads
 from carawaylane.kernel.addresses import split_address
 from carawaylane.services.response_handler import BoundedResponseHandler
 
@@ -111,15 +112,17 @@
         host, port = split_address(address)
         self.opened += 1
         number = self.opened
-        transport, protocol = await loop.create_connection(
-            lambda: BoundedResponseHandler(loop), host, port
+        transport, reads = await loop.create_connection(
+            lambda: SmallReads(handler=BoundedResponseHandler(loop)),
+            host,
+            port,
         )
         sock = transport.get_extra_info('socket')
         sock.setsockopt(
             IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
         )
         return Connection(
-            number=number, protocol=protocol, transport=transport
+            number=number, protocol=reads.handler, transport=transport
         )
 
     def take(
