--- a/tests/gateway/test_copied_refusals.py
+++ b/tests/gateway/test_copied_refusals.py
@@ -183,20 +183,16 @@
     assert len(runs) == 4
 
 
-@pytest.mark.parametrize('name', ['no promise, 503', 'no promise, 429'])
-async def test_a_status_without_a_promise_is_not_passed_on_as_one(fleet, name):
-    fleet.store.put('config', 'main', plan_spec())
-    target = await fleet.start_target(
-        'i-1', lambda *_: Reply(data=UNTRUE_REFUSALS[name])
-    )
-    node = await fleet.start_node('n1')
-    response = await fetch(node, '/write/x', method='POST')
-    assert response.status in (502, 504)
-    assert len(target.requests) == 1
-
-
-@pytest.mark.parametrize('name', ['no id', 'misdirected without an id'])
-async def test_a_first_answer_without_an_id_refuses_nothing(fleet, name):
+@pytest.mark.parametrize(
+    'name',
+    [
+        'no promise, 503',
+        'no promise, 429',
+        'no id',
+        'misdirected without an id',
+    ],
+)
+async def test_a_first_answer_that_promises_nothing_is_no_refusal(fleet, name):
     fleet.store.put('config', 'main', plan_spec())
     target = await fleet.start_target(
         'i-1', lambda *_: Reply(data=UNTRUE_REFUSALS[name])
