--- a/carawaylane/gateway/stopping.py
+++ b/carawaylane/gateway/stopping.py
@@ -99,9 +99,10 @@
     ) -> bool:
         """Return whether the answer of a request can be awaited.
 
-        If its time lasts beyond the stop, it is sent only as long as new
-        requests are taken and most answers come before the end. One that may
-        have run and is sent again is no longer at stake by the former.
+        A request whose deadline lies beyond the stop is sent only while new
+        requests are taken, and if its objective ends before the stop does.
+        Sent `again`, as it may have run, it can't be refused any more, so only
+        its objective counts.
         """
         if deadline_s <= self.end_s:
             return True
