--- a/carawaylane/gateway/caller_responses.py
+++ b/carawaylane/gateway/caller_responses.py
@@ -10,9 +10,9 @@
 
 from carawaylane.gateway.caller_requests import ErrorResponse
 from carawaylane.gateway.streamed_answers import BrokenAnswerError
+from carawaylane.kernel.sockets import reset_connection
 from carawaylane.messages.outcomes import Answered, NotRun, Outcome, Unknown
 from carawaylane.platform.headers import retry_after_headers
-from carawaylane.services.caller_responses import reset_connection
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/carawaylane/kernel/sockets.py
+++ b/carawaylane/kernel/sockets.py
@@ -1,9 +1,21 @@
-"""Listening sockets that are opened before their service starts."""
+"""Listening sockets that are opened early, and resets of connections."""
 
 from __future__ import annotations
 
-from socket import AI_PASSIVE, SOCK_STREAM, getaddrinfo, socket
+from socket import (
+    AI_PASSIVE,
+    SO_LINGER,
+    SOCK_STREAM,
+    SOL_SOCKET,
+    getaddrinfo,
+    socket,
+)
 from socket import create_server as create_socket
+from struct import pack
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from asyncio import Transport
 
 # Maximum number of connections that wait to be accepted.
 LISTEN_BACKLOG = 1024
@@ -19,3 +31,13 @@
         host or None, int(port), type=SOCK_STREAM, flags=AI_PASSIVE
     )[0]
     return create_socket(bound[:2], family=family, backlog=LISTEN_BACKLOG)
+
+
+def reset_connection(transport: Transport | None) -> None:
+    """Reset a connection: after a regular close, a body may look complete."""
+    if transport is None:
+        return
+    sock = transport.get_extra_info('socket')
+    # With a linger time of 0, a close sends RST instead of FIN.
+    sock.setsockopt(SOL_SOCKET, SO_LINGER, pack('ii', 1, 0))
+    transport.abort()
--- a/carawaylane/services/caller_responses.py
+++ b/carawaylane/services/caller_responses.py
@@ -3,9 +3,6 @@
 from __future__ import annotations
 
 from math import ceil
-from socket import SO_LINGER, SOL_SOCKET
-from struct import pack
-from typing import TYPE_CHECKING
 
 from aiohttp import web
 from attrs import frozen
@@ -19,9 +16,6 @@
     Unknown,
 )
 
-if TYPE_CHECKING:
-    from asyncio import Transport
-
 OUTCOME_HEADER = 'Carawaylane-Outcome'
 PROBLEM_CONTENT_TYPE = 'application/problem+json'
 
@@ -106,13 +100,3 @@
     }
     kept['X-Request-Id'] = request_id
     return kept
-
-
-def reset_connection(transport: Transport | None) -> None:
-    """Reset a connection: after a regular close, a body may look complete."""
-    if transport is None:
-        return
-    sock = transport.get_extra_info('socket')
-    # With a linger time of 0, a close sends RST instead of FIN.
-    sock.setsockopt(SOL_SOCKET, SO_LINGER, pack('ii', 1, 0))
-    transport.abort()
--- a/carawaylane/services/entry.py
+++ b/carawaylane/services/entry.py
@@ -15,6 +15,7 @@
 from carawaylane.decisions.ownership.ownership import generate_key
 from carawaylane.decisions.routing.traffic_kinds import request_labels
 from carawaylane.kernel.service import Service, service
+from carawaylane.kernel.sockets import reset_connection
 from carawaylane.messages.exchange import AnswerChunk, Head, Request
 from carawaylane.messages.outcomes import (
     Answered,
@@ -34,7 +35,6 @@
     ProblemAnswer,
     problem_of,
     problem_response,
-    reset_connection,
     response_headers,
 )
 from carawaylane.telemetry.traces import TRACEPARENT_HEADER, traceparent_of
