Spoil the pages of the store in a test from the start

Cause: the test replaced the stand-in's answers once its node had started. If the node's watch had reached the store by then, the change came by an answer that was not spoiled, so the entry could be read.

Change: the answers are replaced before the node starts. The assertions are the same.

--- a/tests/gateway/test_rejected_objects.py
+++ b/tests/gateway/test_rejected_objects.py
@@ -127,8 +127,6 @@
 
 async def test_a_page_with_an_unreadable_object_is_read(fleet, monkeypatch):
     """Nodes learned no change as long as the entry was in the history."""
-    node = await start_node(fleet)
-    directory = node.find('directory')
     answer = fleet.store._answer
 
     async def spoil(req):
@@ -141,6 +139,8 @@
         return response
 
     monkeypatch.setattr(fleet.store, '_answer', spoil)
+    node = await start_node(fleet)
+    directory = node.find('directory')
     fleet.store.put('servers', 'bytes', TARGET | {'zone': MARK})
     fleet.store.put('members', 'bytes', MEMBER | {'zone': MARK})
     fleet.register_target('i-2', 1)
