Take no success without a seal for a target's answer

Cause: the check of an answer asked for its request id only. Such an exchange is broken, so a safe request goes to another target within its budget, and an unsafe one ends as unknown; it is never a promise. Failures and redirects need no seal, and health checks do not come this way. A peer with an older build may pass such an answer on, so its replies are checked, too.

--- a/carawaylane/gateway/target_messages.py
+++ b/carawaylane/gateway/target_messages.py
@@ -7,6 +7,7 @@
 from carawaylane.messages.outcomes import NO_BACKPRESSURE
 from carawaylane.platform.headers import (
     answered_ids,
+    lacks_seal,
     read_response_headers,
     target_request_headers,
 )
@@ -69,9 +70,16 @@
         return BrokenExchange(
             reason='not an answer to the request', mismatched=True
         )
+    forwarded_headers = _forwarded_headers(message)
+    if lacks_seal(message.code, forwarded_headers):
+        return BrokenExchange(
+            reason='a success without a seal',
+            mismatched=True,
+            backpressure=headers.backpressure,
+        )
     return CompleteAnswer(
         status=message.code,
-        headers=_forwarded_headers(message),
+        headers=forwarded_headers,
         body=body,
         backpressure=headers.backpressure,
     )
--- a/carawaylane/gateway/target_paths.py
+++ b/carawaylane/gateway/target_paths.py
@@ -14,7 +14,7 @@
 from carawaylane.decisions.targets.target_paths import RelayPeers, TargetPaths
 from carawaylane.gateway.relays import NotRelayed
 from carawaylane.kernel.service import Service, service
-from carawaylane.platform.headers import PROMISE_STATUSES
+from carawaylane.platform.headers import PROMISE_STATUSES, lacks_seal
 from carawaylane.rpc.fleet_pb2 import ReachReply, ReachRequest, RelayReply
 from carawaylane.rpc.relay_codec import (
     pack_relay_reply,
@@ -366,11 +366,15 @@
     if isinstance(reply, NotRelayed):
         return NeverSent(reason=reply.reason, own_path=True)
     result = unpack_relay_reply(reply)
-    # A node with an older build doesn't check what the status promises.
+    # A node with an older build checks neither what the status promises nor
+    # whether a success is sealed.
     if isinstance(result, CompleteAnswer) and (
-        not result.status or result.status in PROMISE_STATUSES
+        not result.status
+        or result.status in PROMISE_STATUSES
+        or lacks_seal(result.status, result.headers)
     ):
         return BrokenExchange(
-            reason=f'status {result.status} from a peer', mismatched=True
+            reason=f'status {result.status} from a peer is no answer',
+            mismatched=True,
         )
     return result
--- a/carawaylane/platform/headers.py
+++ b/carawaylane/platform/headers.py
@@ -14,12 +14,16 @@
 
     from multidict import MultiMapping
 
+    from carawaylane.messages.outcomes import Headers
+
 READY_PATH = '/ready'
 REQUEST_ID_HEADER = 'Request-Id'
 # The time in ms that is left, although the name suggests a point in time.
 TIME_LEFT_HEADER = 'Deadline-Ms'
 TARGET_HEADER = 'Target-Instance'
 NOT_RUN_HEADER = 'Not-Executed'
+# In each success of a target; lower case.
+SEAL_NAME = 'response-seal'
 KEY_HEADER = 'Authorization'
 KEY_SCHEME = 'bearer'
 # The name of the customer that sent a request, for the target.
@@ -98,6 +102,13 @@
     return NOT_RUN_HEADER in headers or status == MISDIRECTED_STATUS
 
 
+def lacks_seal(status: int, headers: Headers) -> bool:
+    """Return whether an answer is a success that its target did not seal."""
+    return 200 <= status < 300 and not any(
+        name.lower() == SEAL_NAME and value.strip() for name, value in headers
+    )
+
+
 def read_response_headers(
     status: int, headers: MultiMapping[str]
 ) -> ResponseHeaders:
--- a/tests/gateway/test_backpressure_headers.py
+++ b/tests/gateway/test_backpressure_headers.py
@@ -41,12 +41,12 @@
         ),
         (
             'HTTP/1.1 103 Hints\r\nRequest-Id: @ID@\r\n@NAMED@\r\n'
-            'HTTP/1.1 200 OK\r\nRequest-Id: @ID@\r\n'
+            'HTTP/1.1 200 OK\r\nRequest-Id: @ID@\r\nResponse-Seal: s\r\n'
             'Content-Length: 2\r\n\r\nok',
             '',
         ),
         (
-            'HTTP/1.1 200 OK\r\nRequest-Id: @ID@\r\n'
+            'HTTP/1.1 200 OK\r\nRequest-Id: @ID@\r\nResponse-Seal: s\r\n'
             'Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n@NAMED@\r\n',
             '',
         ),
@@ -56,7 +56,7 @@
             'close',
         ),
         (
-            'HTTP/1.1 200 OK\r\nRequest-Id: @ID@\r\n'
+            'HTTP/1.1 200 OK\r\nRequest-Id: @ID@\r\nResponse-Seal: s\r\n'
             'Content-Length: 2\r\n\r\nokHTTP/1.1 503 No\r\n'
             'Request-Id: @ID@\r\n@NAMED@Content-Length: 0\r\n\r\n',
             '',
--- a/tests/gateway/test_copied_answers.py
+++ b/tests/gateway/test_copied_answers.py
@@ -263,6 +263,13 @@
     assert isinstance(_relay_result(reply), BrokenExchange)
 
 
+def test_a_success_of_an_older_peer_without_a_seal_is_no_answer():
+    reply = pack_relay_reply(
+        CompleteAnswer(status=200, headers=(('Request-Id', 'r'),), body=b'')
+    )
+    assert isinstance(_relay_result(reply), BrokenExchange)
+
+
 def test_an_empty_reply_of_a_peer_is_no_answer():
     assert isinstance(_relay_result(RelayReply()), BrokenExchange)
 
--- a/tests/gateway/test_dispatchers.py
+++ b/tests/gateway/test_dispatchers.py
@@ -145,7 +145,7 @@
     )
     body = b'x' * 200_000
     head = (
-        'HTTP/1.1 200 OK\r\nRequest-Id: @ID@\r\n'
+        'HTTP/1.1 200 OK\r\nRequest-Id: @ID@\r\nResponse-Seal: s\r\n'
         f'Content-Length: {len(body)}\r\n\r\n'
     )
     await fleet.start_target(
--- a/tests/gateway/test_exchanges.py
+++ b/tests/gateway/test_exchanges.py
@@ -20,6 +20,7 @@
 )
 
 HEAD = b'HTTP/1.1 200 OK\r\nRequest-Id: @ID@\r\nResponse-Seal: s\r\n'
+SEAL = b'Response-Seal: s\r\n'
 SHED = (
     b'HTTP/1.1 503 Service Unavailable\r\nRequest-Id: @ID@\r\n'
     b'Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
@@ -53,6 +54,22 @@
     'encoded': Reply(
         data=HEAD + b'Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok'
     ),
+    'no seal': Reply(data=OK.replace(SEAL, b'')),
+    'empty seal': Reply(data=OK.replace(SEAL, b'Response-Seal: \r\n')),
+    'seal for one connection': Reply(
+        data=OK.replace(SEAL, SEAL + b'Connection: response-seal\r\n')
+    ),
+    'no seal, no length': Reply(
+        data=HEAD.replace(SEAL, b'') + b'\r\nok', connection_end='close'
+    ),
+    'no seal, chunks': Reply(
+        data=HEAD.replace(SEAL, b'')
+        + b'Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n'
+    ),
+    'no seal, no content': Reply(
+        data=HEAD.replace(SEAL, b'').replace(b'200 OK', b'204 No Content')
+        + b'\r\n'
+    ),
 }
 
 
--- a/tests/gateway/test_memory.py
+++ b/tests/gateway/test_memory.py
@@ -28,7 +28,7 @@
 
 LARGE_BYTES = 540_000
 LARGE_BODY = bytes(range(250)) * (LARGE_BYTES // 250)
-HEAD = b'HTTP/1.1 200 OK\r\nRequest-Id: @ID@\r\n'
+HEAD = b'HTTP/1.1 200 OK\r\nRequest-Id: @ID@\r\nResponse-Seal: s\r\n'
 SIZED = HEAD + b'Content-Length: %d\r\n\r\n' % LARGE_BYTES
 CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
 CHUNK = b'%x\r\n%s\r\n' % (LARGE_BYTES, LARGE_BODY)
--- a/tests/gateway/test_pipelining.py
+++ b/tests/gateway/test_pipelining.py
@@ -11,7 +11,8 @@
 from tests.gateway.conftest import HOST, connect, plan_spec, route_spec
 
 TARGET_BODY = (
-    b'HTTP/1.1 200 OK\r\nRequest-Id: @ID@\r\nContent-Length: 4\r\n\r\n@ID@'
+    b'HTTP/1.1 200 OK\r\nRequest-Id: @ID@\r\nResponse-Seal: s\r\n'
+    b'Content-Length: 4\r\n\r\n@ID@'
 )
 DELAYS_S = (0.4, 0.1, 0.3, 0.05, 0.4, 0.2)
 DEPTH = 16
--- a/tests/gateway/test_target_paths.py
+++ b/tests/gateway/test_target_paths.py
@@ -41,7 +41,12 @@
 MEMBERS = [f'n{number}' for number in range(5)]
 # Results of an exchange, and whether the target has got the request.
 RESULTS = [
-    (CompleteAnswer(status=200, headers=(), body=b''), True),
+    (
+        CompleteAnswer(
+            status=200, headers=(('Response-Seal', 's'),), body=b''
+        ),
+        True,
+    ),
     (RefusedByTarget(leaving=False, deadline_passed=False), True),
     (BrokenExchange(reason='lost'), True),
     (BrokenExchange(reason='late', timed_out=True), True),
