carawayd: refuse successes without the seal of their service

carawayd passed a success on whose head had lost lines, as the node did. Its targets speak the product's own interface, which knows no seal, so a service names the header (`seal_header`, none by default), as it does for refusals. A success without it ends as broken before anything of it is sent on, buffered or streamed: unknown for an unsafe request, another attempt for a safe one.

12 of the new tests failed before: 2 as the success was passed on, 10 as the exchange did not know the option.

--- a/carawaylane/config/schema.py
+++ b/carawaylane/config/schema.py
@@ -49,7 +49,8 @@
     service. `health_path` is probed while a target is ejected; if it is
     empty, no probes are sent. If `echoes_request_id` is set, an answer without
     the request's id is rejected as belonging to another request. A target
-    sets `not_run_header` in its answer if it refused a request unrun.
+    sets `not_run_header` in its answer if it refused a request unrun, and
+    `seal_header` in each success; if that is empty, successes need no seal.
     """
 
     name: str
@@ -63,6 +64,7 @@
     probe_interval_ms: int = 5000
     echoes_request_id: bool = False
     not_run_header: str = 'X-Not-Run'
+    seal_header: str = ''
 
     def problems(self) -> list[str]:
         """Return a message for each invalid value."""
--- a/carawaylane/services/attempts.py
+++ b/carawaylane/services/attempts.py
@@ -222,6 +222,7 @@
             read_timeout_s=kind.timeout_ms / 1000,
             echoes_request_id=spec.echoes_request_id,
             not_run_header=spec.not_run_header,
+            seal_header=spec.seal_header,
             max_buffered_bytes=self.kernel.cfg.max_answer_hold_bytes,
         )
         client = self._homes.target_client(target_spec.address)
--- a/carawaylane/services/targets.py
+++ b/carawaylane/services/targets.py
@@ -138,7 +138,8 @@
     `read_timeout_s` each wait for data. A body larger than
     `max_buffered_bytes` is streamed. If `echoes_request_id` is set, an answer
     must carry the id of the request. A target sets `not_run_header` in its
-    answer if it has not run the request.
+    answer if it has not run the request, and `seal_header`, unless it is
+    empty, in each success.
     """
 
     head_timeout_s: float
@@ -146,6 +147,7 @@
     echoes_request_id: bool
     not_run_header: str
     max_buffered_bytes: int
+    seal_header: str = ''
 
 
 class TargetClient:
@@ -301,6 +303,11 @@
             return BrokenExchange(
                 reason='an answer to another request', mismatched=True
             )
+        if _lacks_seal(resp, options.seal_header):
+            resp.close()
+            return BrokenExchange(
+                reason='a success without a seal', mismatched=True
+            )
         return await self._read_body(resp, options)
 
     async def _read_body(
@@ -327,6 +334,15 @@
         )
 
 
+def _lacks_seal(resp: ClientResponse, seal_header: str) -> bool:
+    """Return whether an answer is a success that its target did not seal."""
+    return (
+        bool(seal_header)
+        and 200 <= resp.status < 300
+        and not any(resp.headers.getall(seal_header, ()))
+    )
+
+
 def _new_session(*, force_close: bool) -> ClientSession:
     if force_close:
         connector = TCPConnector(limit=0, force_close=True)
--- a/tests/services/test_attempts.py
+++ b/tests/services/test_attempts.py
@@ -3,11 +3,12 @@
 from asyncio import CancelledError, create_task, sleep, start_server
 
 import pytest
+from attrs import evolve
 
 from carawaylane.config.schema import Target, TrafficKind
 from carawaylane.messages.exchange import Request
 from carawaylane.messages.home import Configure
-from carawaylane.messages.outcomes import Answered, NotRun
+from carawaylane.messages.outcomes import Answered, NotRun, Unknown
 from standins.raw_target import RawTarget, Reply
 
 KIND = TrafficKind(
@@ -39,10 +40,10 @@
     )
 
 
-async def start_home(kernel, target_port):
+async def start_home(kernel, target_port, **changes):
     """Return the home of a shard with one target."""
     home = await kernel.find('homes').get_or_create_home(('s', 0))
-    spec = kernel.find('catalogue').config.services['s']
+    spec = evolve(kernel.find('catalogue').config.services['s'], **changes)
     target = Target(name='t', address=f'127.0.0.1:{target_port}')
     await home.ask(
         Configure(service=spec, targets=[target], leaving_hosts=frozenset())
@@ -101,3 +102,23 @@
             assert isinstance(result.outcome, Answered)
             assert result.outcome.status == 200
     assert len(target.requests) == 3
+
+
+@pytest.mark.parametrize('safety', ['idempotent', 'unsafe'])
+async def test_a_success_without_a_seal_is_not_passed_on(kernel, safety):
+    """It makes no promise, and only a safe request is sent again."""
+    sealed = OK.replace(b'\r\n', b'\r\nSeal: s\r\n', 1)
+    target = RawTarget(
+        plan=lambda number, _: Reply(data=OK if number == 1 else sealed)
+    )
+    kind = evolve(KIND, safety=safety)
+    async with await start_server(target.serve, '127.0.0.1', 0) as server:
+        port = server.sockets[0].getsockname()[1]
+        home = await start_home(kernel, port, seal_header='Seal')
+        req = make_request(kernel, left_ms=5000)
+        result = await kernel.find('attempts').run_with_retries(
+            home, kind, req
+        )
+    expected = Unknown if kind.unsafe else Answered
+    assert isinstance(result.outcome, expected)
+    assert len(target.requests) == (1 if kind.unsafe else 2)
--- a/tests/services/test_targets.py
+++ b/tests/services/test_targets.py
@@ -235,6 +235,36 @@
     return result, body
 
 
+SUCCESS = HEAD + b'Content-Length: 1000\r\n\r\n' + b'x' * 1000
+FAILURE = SUCCESS.replace(b'200 OK', b'404 Not Found')
+
+
+@pytest.mark.parametrize('max_buffered_bytes', [100, 65536])
+@pytest.mark.parametrize(
+    ('data', 'result_types'),
+    [
+        (SUCCESS, {BrokenExchange}),
+        (SUCCESS.replace(b'200', b'206'), {BrokenExchange}),
+        (SUCCESS.replace(b'Not-Used: 1', b'Seal:'), {BrokenExchange}),
+        (
+            SUCCESS.replace(b'Not-Used', b'Seal'),
+            {CompleteAnswer, StreamedAnswer},
+        ),
+        (FAILURE, {CompleteAnswer, StreamedAnswer}),
+    ],
+    ids=['no seal', 'part', 'empty seal', 'seal', 'failure'],
+)
+async def test_a_success_without_the_seal_of_its_service_is_broken(
+    data, result_types, max_buffered_bytes
+):
+    result, _ = await exchange_with(
+        Reply(data=data),
+        seal_header='seal',
+        max_buffered_bytes=max_buffered_bytes,
+    )
+    assert type(result) in result_types
+
+
 NO_LENGTH = HEAD + b'\r\n' + b'x' * 1000
 
 
