carawayd: send no refused request again on the connection of its refusal

A safe request that one home's target refused goes on to the home of another shard. Both homes of a node share the connections to an address, and a target can move between the shards meanwhile, as targets are dealt out in their order. The second run then used the connection that had carried the refusal.

The client of a target now keeps which requests were refused on its pool, 500 at most, and sends these on new connections. Closing the connection instead does not work: aiohttp gives it back to the pool as the answer ends, before its caller sees it.

--- a/carawaylane/services/targets.py
+++ b/carawaylane/services/targets.py
@@ -43,6 +43,8 @@
 # A target that keeps a new connection open for this long counts as alive.
 LIVENESS_OPEN_S = 0.1
 KEEPALIVE_S = 15.0
+# Ids of refused requests that are kept for a pool, which bounds their memory.
+MAX_REFUSED_IDS = 500
 READ_CHUNK_BYTES = 65536
 MIN_ERROR_STATUS = 400
 LEAVING_HEADER = 'X-Leaving'
@@ -156,7 +158,8 @@
     Idempotent requests share a pool of connections. An unsafe request gets a
     new connection: a stale one might lose the request after it was sent, and
     aiohttp might then send it again. So does a retry, since an answer to the
-    first attempt that comes again bears the id of the retry, too.
+    first attempt that comes again bears the id of the retry, too, and a
+    request that was refused here when it ran at another home.
     """
 
     def __init__(self, *, address: str) -> None:
@@ -166,6 +169,8 @@
         # Former pools, each closed when no exchange uses it any more.
         self._retired: list[ClientSession] = []
         self._open_exchanges: Counter[ClientSession] = Counter()
+        # Requests that were refused on a connection of the pool.
+        self._refused_ids: set[str] = set()
 
     async def close(self) -> None:
         """Close the connections."""
@@ -181,6 +186,7 @@
         if self._pooled is not None:
             self._retired.append(self._pooled)
             self._pooled = None
+            self._refused_ids.clear()
         idle = [
             session
             for session in self._retired
@@ -216,12 +222,19 @@
         self, req: Request, options: ExchangeOptions, *, new_connection: bool
     ) -> ExchangeResult:
         """Send a request once; return its answer or why there is none."""
-        session = self._session(new_connection)
+        session = self._session(
+            new_connection or req.request_id in self._refused_ids
+        )
         self._open_exchanges[session] += 1
         try:
-            return await self._exchange(session, req, options)
+            result = await self._exchange(session, req, options)
         finally:
             self._open_exchanges[session] -= 1
+        if isinstance(result, RefusedByTarget) and session is self._pooled:
+            self._refused_ids.add(req.request_id)
+            if len(self._refused_ids) > MAX_REFUSED_IDS:
+                await self.drop_pool()
+        return result
 
     async def _exchange(
         self, session: ClientSession, req: Request, options: ExchangeOptions
