carawayd: end an answer that is held with the time of its attempt

An answer of which the caller has got nothing is now bounded as its head was: by the time left, or half of it if a retry may follow. It ends as unknown, or with another attempt. An answer that is streamed goes on as long as its caller reads, as on a node. A run with a key whose caller has left reads an answer on until the deadline, so that the outcome gets recorded, and ends as unknown after it; its slot is given back.

Of the tests 8 failed before: bodies with a length, without, in chunks, and endless framing and trailers, the slots of a safe and of an unsafe request, and a run whose caller has left. Slow heads ended before, too, as tests show now. tests/services passes.

--- a/carawaylane/services/runner.py
+++ b/carawaylane/services/runner.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from asyncio import Queue, Task, timeout
+from contextlib import aclosing
 from typing import TYPE_CHECKING, Any
 
-from attrs import evolve
+from attrs import Factory, define, evolve
 
 from carawaylane.decisions.ownership.ledger import (
     InDoubt,
@@ -43,6 +44,18 @@
 QUEUE_DRAIN_POLL_S = 0.1
 
 
+@define(kw_only=True, eq=False, repr=False)
+class _KeyedRun:
+    """Chunks of the answer of a run with a key, for its caller.
+
+    If the caller is gone, the request still runs to its end, so that the
+    outcome of its key gets recorded.
+    """
+
+    chunks: Queue[AnswerChunk] = Factory(lambda: Queue(MAX_QUEUED_CHUNKS))
+    caller_left: bool = False
+
+
 @service('runner')
 class Runner(Service):
     """Admits keys, runs requests and records the outcomes of keys."""
@@ -102,21 +115,18 @@
         join_seq = entry.join_seq if entry else None
         verdict = await home.ask(AdmitKey(req=req, join_seq=join_seq))
         if isinstance(verdict, Run):
-            chunks: Queue[AnswerChunk] = Queue(MAX_QUEUED_CHUNKS)
-            run_task = self.spawn(
-                self._run_and_record(home, kind, req, chunks)
-            )
+            run = _KeyedRun()
+            run_task = self.spawn(self._run_and_record(home, kind, req, run))
             try:
                 while True:
-                    chunk = await chunks.get()
+                    chunk = await run.chunks.get()
                     yield chunk
                     if chunk.outcome is not None:
                         return
             finally:
-                # If the caller is gone, the request still runs to its end, so
-                # that the outcome of its key gets recorded.
+                run.caller_left = True
                 if not run_task.done():
-                    self.spawn(_drain_queue(chunks, run_task))
+                    self.spawn(_drain_queue(run.chunks, run_task))
         elif isinstance(verdict, Join):
             yield _final_chunk(await self._await_outcome(home, req))
         else:
@@ -143,7 +153,7 @@
         home: ShardHome,
         kind: TrafficKind,
         req: Request,
-        chunks: Queue[AnswerChunk],
+        run: _KeyedRun,
     ) -> None:
         outcome: Outcome = Unknown(reason='the run was stopped')
         kept = True
@@ -158,18 +168,30 @@
                     outcome = evolve(outcome, refused_ms=now_ms)
                 final_chunk = _final_chunk(outcome)
             else:
-                chunk = AnswerChunk(outcome=Unknown(reason='truncated'))
-                async for chunk in self._stream(result.streamed, True):
-                    if chunk.outcome is None:
-                        await chunks.put(chunk)
-                final_chunk = chunk
-                outcome = chunk.outcome or outcome
+                final_chunk = await self._pass_on(result.streamed, req, run)
+                outcome = final_chunk.outcome or outcome
                 kept = False
         finally:
             home.post(
                 RecordKeyOutcome(key=req.key, outcome=outcome, kept=kept)
             )
-        await chunks.put(final_chunk)
+        await run.chunks.put(final_chunk)
+
+    async def _pass_on(
+        self, answer: StreamedAnswer, req: Request, run: _KeyedRun
+    ) -> AnswerChunk:
+        """Pass the chunks of an answer on; return the last one.
+
+        An answer that nobody reads is read on until the deadline.
+        """
+        async with aclosing(self._stream(answer, True)) as chunks:
+            async for chunk in chunks:
+                if chunk.outcome is not None:
+                    return chunk
+                if run.caller_left and self._time_left_s(req) <= 0:
+                    break
+                await run.chunks.put(chunk)
+        return AnswerChunk(outcome=Unknown(reason='truncated'))
 
     async def _try_other_shards(
         self, home: ShardHome, req: Request, refusal: AttemptResult
--- a/carawaylane/services/targets.py
+++ b/carawaylane/services/targets.py
@@ -136,8 +136,8 @@
 class ExchangeOptions:
     """Timeouts of an exchange and how its answer is read.
 
-    `head_timeout_s` limits the time until the head of the answer arrives,
-    `read_timeout_s` each wait for data. A body larger than
+    `head_timeout_s` limits the time until the answer is complete or begins to
+    be streamed, `read_timeout_s` each wait for data. A body larger than
     `max_buffered_bytes` is streamed. If `echoes_request_id` is set, an answer
     must carry the id of the request. A target sets `not_run_header` in its
     answer if it has not run the request, and `seal_header`, unless it is
@@ -254,13 +254,13 @@
                     timeout=timeouts,
                     allow_redirects=False,
                 )
+                return await self._read_response(req, resp, options)
         except (ClientConnectorError, ConnectionTimeoutError) as exc:
             return NeverSent(reason=type(exc).__name__)
         except TimeoutError:
             return BrokenExchange(reason='timed out', timed_out=True)
         except (ClientError, OSError, ValueError) as exc:
             return BrokenExchange(reason=type(exc).__name__)
-        return await self._read_response(req, resp, options)
 
     async def probe(self, path: str, timeout_s: float) -> bool:
         """Return whether the health page answers with a status below 400.
