carawayd: give the slot back if a caller leaves before an answer is streamed

Found by a test of callers that leave: if a caller of a large answer left between its first part and the next one, say while the first part waited to be written, the slot of the target was never given back, and the shard's capacity shrank for good. The generator that gives it back had not started then, and a generator that has not started runs no `finally` when it is closed. It is now started before anybody else gets it.

--- a/carawaylane/services/attempts.py
+++ b/carawaylane/services/attempts.py
@@ -185,6 +185,8 @@
                 exchange.rest = self._stream_then_release(
                     home, kind, ticket, target, started_at_s, exchange.rest
                 )
+                # A generator that has not started cleans nothing up.
+                await anext(exchange.rest)
         finally:
             span.end()
             if not isinstance(exchange, StreamedAnswer):
@@ -239,9 +241,10 @@
         started_at_s: float,
         rest: AsyncIterator[bytes],
     ) -> AsyncIterator[bytes]:
-        """Yield the rest of an answer, then release its slot."""
+        """Yield nothing, then the rest of an answer, and release its slot."""
         complete = False
         try:
+            yield b''
             async for data in rest:
                 yield data
             complete = True
--- a/tests/services/test_slow_answers.py
+++ b/tests/services/test_slow_answers.py
@@ -149,6 +149,20 @@
     assert [type(outcome) for outcome in outcomes] == [Unknown]
 
 
+async def test_a_run_without_a_key_ends_as_its_caller_leaves(
+    kernel, monkeypatch
+):
+    target = SlowTarget(SIZED + LARGE, b'x')
+    async with target.running() as port:
+        home, _ = await start_keyed(kernel, monkeypatch, port)
+        req = make_request(kernel, left_ms=1000 * HANG_S)
+        chunks = kernel.find('runner').run_request(req)
+        await anext(chunks)
+        await chunks.aclose()
+        await wait_until(lambda: not home.open_request_count())
+        await wait_until(lambda: not target.open_answers)
+
+
 async def test_a_run_whose_caller_left_reads_an_answer_that_ends(
     kernel, monkeypatch
 ):
