carawayd: keep little of a streamed answer while its reader rests

carawayd kept some 590 KB of each large answer whose caller read slowly, beside the first 64 KB that it may hold: the event loop reads 256 KB at once, and the client's buffer takes as much as the largest read of it. With the 2,000 requests that may be in flight that is over a GB, beside which the requests of others end. Its connections now read 16 KB at a time, as a node's do, and so does who reads their answers.

The tests failed before (2 of 2): a connection received 720,005 and 715,000 bytes before it rested, the bound is twice what may be held, 131,072.

--- a/carawaylane/services/targets.py
+++ b/carawaylane/services/targets.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from asyncio import get_running_loop, open_connection, timeout
+from asyncio import open_connection, timeout
 from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import suppress
-from functools import partial
 from typing import TYPE_CHECKING
 
 from aiohttp import (
@@ -16,11 +15,10 @@
     ClientSession,
     ClientTimeout,
     ConnectionTimeoutError,
-    DummyCookieJar,
-    TCPConnector,
 )
 from attrs import define, frozen
 
+from carawaylane.gateway.small_reads import READ_BYTES
 from carawaylane.gateway.streamed_answers import AnswerStream
 from carawaylane.kernel.timeouts import ReplyTimeout
 from carawaylane.messages.outcomes import (
@@ -28,12 +26,12 @@
     Backpressure,
     Headers,
 )
-from carawaylane.services.response_handler import BoundedResponseHandler
 from carawaylane.services.target_headers import (
     REQUEST_ID_HEADER,
     answer_headers,
     target_headers,
 )
+from carawaylane.services.target_sessions import new_session
 
 if TYPE_CHECKING:
     from carawaylane.messages.exchange import Request
@@ -42,10 +40,8 @@
 LIVENESS_CONNECT_TIMEOUT_S = 0.3
 # A target that keeps a new connection open for this long counts as alive.
 LIVENESS_OPEN_S = 0.1
-KEEPALIVE_S = 15.0
 # Ids of refused requests that are kept for a pool, which bounds their memory.
 MAX_REFUSED_IDS = 500
-READ_CHUNK_BYTES = 65536
 MIN_ERROR_STATUS = 400
 LEAVING_HEADER = 'X-Leaving'
 
@@ -281,13 +277,13 @@
     def _session(self, new_connection: bool) -> ClientSession:
         if new_connection:
             if self._unpooled is None:
-                self._unpooled = _new_session(force_close=True)
+                self._unpooled = new_session(force_close=True)
                 # aiohttp has no public option against its own resending of
                 # PUT and DELETE.
                 self._unpooled._retry_connection = False
             return self._unpooled
         if self._pooled is None:
-            self._pooled = _new_session(force_close=False)
+            self._pooled = new_session(force_close=False)
         return self._pooled
 
     async def _read_response(
@@ -356,26 +352,10 @@
     )
 
 
-def _new_session(*, force_close: bool) -> ClientSession:
-    if force_close:
-        connector = TCPConnector(limit=0, force_close=True)
-    else:
-        connector = TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S)
-    # aiohttp has no public option for the protocol of its connections.
-    connector._factory = partial(  # type: ignore[assignment]
-        BoundedResponseHandler, loop=get_running_loop()
-    )
-    return ClientSession(
-        connector=connector,
-        cookie_jar=DummyCookieJar(),
-        auto_decompress=False,
-    )
-
-
 async def _body_chunks(resp: ClientResponse) -> AsyncIterator[bytes]:
     complete = False
     try:
-        async for data in resp.content.iter_chunked(READ_CHUNK_BYTES):
+        async for data in resp.content.iter_chunked(READ_BYTES):
             yield data
         complete = True
     except (TimeoutError, ClientError, OSError) as exc:
