Count replies that peers have not read, and end them in time

A reply is counted with the answers that are read now, until it is sent, and is given up a second after the time of its request at the latest; the peer takes that as a lost answer, of which it knows nothing.

The test of endless answers to peers left the id out of the request's headers, so bodies were cut as answers to another request, not for their size. It has the id now, and passes.

--- a/carawaylane/gateway/exchanges.py
+++ b/carawaylane/gateway/exchanges.py
@@ -75,7 +75,8 @@
     def __init__(self, *, kernel: Kernel) -> None:
         super().__init__(kernel=kernel)
         self.pool = ConnectionPool()
-        self._answer_memory = AnswerMemory()
+        # Of answers that are read, and of replies to peers that wait.
+        self.answer_memory = AnswerMemory()
 
     async def start(self) -> None:
         """Look up the other services."""
@@ -322,7 +323,7 @@
 
         If it is larger than the limit, only a part of it is read.
         """
-        size = self._answer_memory.new_answer()
+        size = self.answer_memory.new_answer()
         chunks: list[bytes] = []
         held_bytes = 0
         kept = False
--- a/carawaylane/gateway/fleet_rpc.py
+++ b/carawaylane/gateway/fleet_rpc.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from asyncio import CancelledError, Queue
+from asyncio import CancelledError, Queue, timeout
 from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
@@ -29,7 +29,7 @@
     unpack_slot_request,
 )
 from carawaylane.rpc.fleet_grpc import FleetBase
-from carawaylane.rpc.fleet_pb2 import Done
+from carawaylane.rpc.fleet_pb2 import Done, RelayReply
 from carawaylane.rpc.quota_codec import (
     pack_quota_reply,
     unpack_quota_ask,
@@ -38,7 +38,11 @@
 
 if TYPE_CHECKING:
     from carawaylane.kernel.kernel import Kernel
-    from carawaylane.rpc.fleet_pb2 import Call, Reply
+    from carawaylane.rpc.fleet_pb2 import Call, RelayRequest, Reply
+
+# A reply that is ready as the time of its request ends may still be sent this
+# long. A peer that waits no more has cancelled the call by then.
+MIN_REPLY_SEND_S = 1.0
 
 
 class FleetHandler(FleetBase):
@@ -49,6 +53,7 @@
         self._dispatchers = svc.kernel.find('dispatchers')
         self._object_sync = svc.kernel.find('news')
         self._target_paths = svc.kernel.find('target_paths')
+        self._exchanges = svc.kernel.find('exchanges')
         self._crashes = svc.kernel.find('crashes')
         self._quotas = svc.kernel.find('quotas')
         self._previews = Previews(kernel=svc.kernel)
@@ -94,10 +99,25 @@
 
     async def Relay(self, stream: Any) -> None:  # noqa: N802
         """Send a request for a node that is cut off from the targets."""
-        msg = await stream.recv_message()
+        msg: RelayRequest = await stream.recv_message()
+        now_s = self._svc.kernel.now_s
+        deadline_s = now_s() + msg.left_ms / 1000
         reply = await self._target_paths.relay(msg)
-        with suppress(*RPC_ERRORS):
-            await send_message(stream, reply)
+        size = self._exchanges.answer_memory.new_answer()
+        if not size.grow_to(len(reply.body)):
+            reply = RelayReply(
+                result=RelayReply.BROKEN, reason='no memory for the reply'
+            )
+        try:
+            async with timeout(max(deadline_s - now_s(), MIN_REPLY_SEND_S)):
+                await send_message(stream, reply)
+        except TimeoutError:
+            with suppress(*RPC_ERRORS):
+                await stream.cancel()
+        except RPC_ERRORS:
+            return
+        finally:
+            size.release()
 
     async def Reach(self, stream: Any) -> None:  # noqa: N802
         """Tell a peer which targets this node can connect to."""
--- a/standins/raw_target.py
+++ b/standins/raw_target.py
@@ -40,7 +40,8 @@
     after the answer, before the next request if there is one.
     With `hang`, the target sends nothing until the client closes the
     connection. `endless` is sent after the answer again and again, until the
-    client closes the connection or ENDLESS_CAP_BYTES are sent.
+    client closes the connection or ENDLESS_CAP_BYTES are sent, once in each
+    `period_s` if that is set.
     """
 
     data: bytes = OK
@@ -51,6 +52,7 @@
     connection_end: str = ''
     hang: bool = False
     endless: bytes = b''
+    period_s: float = 0.0
 
 
 @define(kw_only=True)
@@ -145,7 +147,7 @@
                 reply.after.replace(REQUEST_ID_PLACEHOLDER, request_id)
             )
         if reply.endless:
-            await self._send_endless(reply.endless, writer)
+            await self._send_endless(reply, writer)
             return False
         if reply.connection_end == 'reset':
             # Lets the client read the answer; a reset discards what it has not
@@ -154,15 +156,17 @@
             reset(writer)
         return not reply.connection_end
 
-    async def _send_endless(self, data: bytes, writer: StreamWriter) -> None:
-        block = data * max(1, ENDLESS_BLOCK_BYTES // len(data))
+    async def _send_endless(self, reply: Reply, writer: StreamWriter) -> None:
+        block = reply.endless
+        if not reply.period_s:
+            block *= max(1, ENDLESS_BLOCK_BYTES // len(block))
         number = len(self.endless_bytes)
         self.endless_bytes.append(0)
         while self.endless_bytes[number] < ENDLESS_CAP_BYTES:
             writer.write(block)
             await writer.drain()
             self.endless_bytes[number] += len(block)
-            await sleep(0)
+            await sleep(reply.period_s)
 
 
 async def read_request(reader: StreamReader) -> bytes:
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from carawaylane.rpc.fleet_pb2 import RelayReply, RelayRequest
+from carawaylane.rpc.fleet_pb2 import Header, RelayReply, RelayRequest
 from standins.raw_target import OK, Reply
 from tests.gateway.conftest import fetch, plan_spec, route_spec
 
@@ -178,6 +178,9 @@
                     address=address,
                     method='POST',
                     path=b'/write/x',
+                    headers=[
+                        Header(name=b'Request-Id', value=b'r%d' % number)
+                    ],
                     request_id=f'r{number}',
                     left_ms=1000 * TIMEOUT_S,
                 )
