--- a/carawaylane/services/attempts.py
+++ b/carawaylane/services/attempts.py
@@ -185,6 +185,8 @@
                 exchange.rest = self._stream_then_release(
                     home, kind, ticket, target, started_at_s, exchange.rest
                 )
+                # A generator that has not started cleans nothing up.
+                await anext(exchange.rest)
         finally:
             span.end()
             if not isinstance(exchange, StreamedAnswer):
@@ -222,6 +224,7 @@
             read_timeout_s=kind.timeout_ms / 1000,
             echoes_request_id=spec.echoes_request_id,
             not_run_header=spec.not_run_header,
+            seal_header=spec.seal_header,
             max_buffered_bytes=self.kernel.cfg.max_answer_hold_bytes,
         )
         client = self._homes.target_client(target_spec.address)
@@ -238,9 +241,10 @@
         started_at_s: float,
         rest: AsyncIterator[bytes],
     ) -> AsyncIterator[bytes]:
-        """Yield the rest of an answer, then release its slot."""
+        """Yield nothing, then the rest of an answer, and release its slot."""
         complete = False
         try:
+            yield b''
             async for data in rest:
                 yield data
             complete = True
--- a/carawaylane/services/targets.py
+++ b/carawaylane/services/targets.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from asyncio import get_running_loop, open_connection, timeout
+from asyncio import open_connection, timeout
 from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import suppress
-from functools import partial
 from typing import TYPE_CHECKING
 
 from aiohttp import (
@@ -16,11 +15,10 @@
     ClientSession,
     ClientTimeout,
     ConnectionTimeoutError,
-    DummyCookieJar,
-    TCPConnector,
 )
 from attrs import define, frozen
 
+from carawaylane.gateway.small_reads import READ_BYTES
 from carawaylane.gateway.streamed_answers import AnswerStream
 from carawaylane.kernel.timeouts import ReplyTimeout
 from carawaylane.messages.outcomes import (
@@ -28,12 +26,12 @@
     Backpressure,
     Headers,
 )
-from carawaylane.services.response_handler import BoundedResponseHandler
 from carawaylane.services.target_headers import (
     REQUEST_ID_HEADER,
     answer_headers,
     target_headers,
 )
+from carawaylane.services.target_sessions import new_session
 
 if TYPE_CHECKING:
     from carawaylane.messages.exchange import Request
@@ -42,8 +40,8 @@
 LIVENESS_CONNECT_TIMEOUT_S = 0.3
 # A target that keeps a new connection open for this long counts as alive.
 LIVENESS_OPEN_S = 0.1
-KEEPALIVE_S = 15.0
-READ_CHUNK_BYTES = 65536
+# Ids of refused requests that are kept for a pool, which bounds their memory.
+MAX_REFUSED_IDS = 500
 MIN_ERROR_STATUS = 400
 LEAVING_HEADER = 'X-Leaving'
 
@@ -134,11 +132,12 @@
 class ExchangeOptions:
     """Timeouts of an exchange and how its answer is read.
 
-    `head_timeout_s` limits the time until the head of the answer arrives,
-    `read_timeout_s` each wait for data. A body larger than
+    `head_timeout_s` limits the time until the answer is complete or begins to
+    be streamed, `read_timeout_s` each wait for data. A body larger than
     `max_buffered_bytes` is streamed. If `echoes_request_id` is set, an answer
     must carry the id of the request. A target sets `not_run_header` in its
-    answer if it has not run the request.
+    answer if it has not run the request, and `seal_header`, unless it is
+    empty, in each success.
     """
 
     head_timeout_s: float
@@ -146,6 +145,7 @@
     echoes_request_id: bool
     not_run_header: str
     max_buffered_bytes: int
+    seal_header: str = ''
 
 
 class TargetClient:
@@ -154,7 +154,8 @@
     Idempotent requests share a pool of connections. An unsafe request gets a
     new connection: a stale one might lose the request after it was sent, and
     aiohttp might then send it again. So does a retry, since an answer to the
-    first attempt that comes again bears the id of the retry, too.
+    first attempt that comes again bears the id of the retry, too, and a
+    request that was refused here when it ran at another home.
     """
 
     def __init__(self, *, address: str) -> None:
@@ -164,6 +165,8 @@
         # Former pools, each closed when no exchange uses it any more.
         self._retired: list[ClientSession] = []
         self._open_exchanges: Counter[ClientSession] = Counter()
+        # Requests that were refused on a connection of the pool.
+        self._refused_ids: set[str] = set()
 
     async def close(self) -> None:
         """Close the connections."""
@@ -179,6 +182,7 @@
         if self._pooled is not None:
             self._retired.append(self._pooled)
             self._pooled = None
+            self._refused_ids.clear()
         idle = [
             session
             for session in self._retired
@@ -214,12 +218,19 @@
         self, req: Request, options: ExchangeOptions, *, new_connection: bool
     ) -> ExchangeResult:
         """Send a request once; return its answer or why there is none."""
-        session = self._session(new_connection)
+        session = self._session(
+            new_connection or req.request_id in self._refused_ids
+        )
         self._open_exchanges[session] += 1
         try:
-            return await self._exchange(session, req, options)
+            result = await self._exchange(session, req, options)
         finally:
             self._open_exchanges[session] -= 1
+        if isinstance(result, RefusedByTarget) and session is self._pooled:
+            self._refused_ids.add(req.request_id)
+            if len(self._refused_ids) > MAX_REFUSED_IDS:
+                await self.drop_pool()
+        return result
 
     async def _exchange(
         self, session: ClientSession, req: Request, options: ExchangeOptions
@@ -239,13 +250,13 @@
                     timeout=timeouts,
                     allow_redirects=False,
                 )
+                return await self._read_response(req, resp, options)
         except (ClientConnectorError, ConnectionTimeoutError) as exc:
             return NeverSent(reason=type(exc).__name__)
         except TimeoutError:
             return BrokenExchange(reason='timed out', timed_out=True)
         except (ClientError, OSError, ValueError) as exc:
             return BrokenExchange(reason=type(exc).__name__)
-        return await self._read_response(req, resp, options)
 
     async def probe(self, path: str, timeout_s: float) -> bool:
         """Return whether the health page answers with a status below 400.
@@ -266,13 +277,13 @@
     def _session(self, new_connection: bool) -> ClientSession:
         if new_connection:
             if self._unpooled is None:
-                self._unpooled = _new_session(force_close=True)
+                self._unpooled = new_session(force_close=True)
                 # aiohttp has no public option against its own resending of
                 # PUT and DELETE.
                 self._unpooled._retry_connection = False
             return self._unpooled
         if self._pooled is None:
-            self._pooled = _new_session(force_close=False)
+            self._pooled = new_session(force_close=False)
         return self._pooled
 
     async def _read_response(
@@ -301,6 +312,11 @@
             return BrokenExchange(
                 reason='an answer to another request', mismatched=True
             )
+        if _lacks_seal(resp, options.seal_header):
+            resp.close()
+            return BrokenExchange(
+                reason='a success without a seal', mismatched=True
+            )
         return await self._read_body(resp, options)
 
     async def _read_body(
@@ -327,26 +343,19 @@
         )
 
 
-def _new_session(*, force_close: bool) -> ClientSession:
-    if force_close:
-        connector = TCPConnector(limit=0, force_close=True)
-    else:
-        connector = TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S)
-    # aiohttp has no public option for the protocol of its connections.
-    connector._factory = partial(  # type: ignore[assignment]
-        BoundedResponseHandler, loop=get_running_loop()
-    )
-    return ClientSession(
-        connector=connector,
-        cookie_jar=DummyCookieJar(),
-        auto_decompress=False,
+def _lacks_seal(resp: ClientResponse, seal_header: str) -> bool:
+    """Return whether an answer is a success that its target did not seal."""
+    return (
+        bool(seal_header)
+        and 200 <= resp.status < 300
+        and not any(resp.headers.getall(seal_header, ()))
     )
 
 
 async def _body_chunks(resp: ClientResponse) -> AsyncIterator[bytes]:
     complete = False
     try:
-        async for data in resp.content.iter_chunked(READ_CHUNK_BYTES):
+        async for data in resp.content.iter_chunked(READ_BYTES):
             yield data
         complete = True
     except (TimeoutError, ClientError, OSError) as exc:
