Answer all that a stopping node has read, and read no more behind it

Callers saw, in a planned stop: of requests pipelined behind another one, those beyond the 16 that are parsed ahead ended with the connection, without an answer, though the node had read them (LOST); and what a caller sent behind a long answer with "Connection: close" was read and dropped, so that nobody could tell whether it may be sent again.

Cause: stop_reading dropped the received data that was not parsed yet, and read on without answering. Behind the response in turn it did not look at the request in turn at all, which had ended by then.

Change: data that was received is parsed and answered before the connection closes. Then reading is paused, so that later requests stay in the socket unread. From the refusal time on, the same holds behind a response that is being sent; it goes on after it. As a close with unread requests is a reset, which loses what the caller's host has not received, the connection closes once all is acknowledged (TIOCOUTQ).

--- a/carawaylane/gateway/caller_connection.py
+++ b/carawaylane/gateway/caller_connection.py
@@ -19,6 +19,7 @@
 from attrs import frozen
 
 from carawaylane.gateway.caller_responses import CallerResponse
+from carawaylane.kernel.sockets import unacknowledged_bytes
 
 if TYPE_CHECKING:
     from asyncio import BaseTransport, TimerHandle
@@ -125,6 +126,8 @@
         # Whether aiohttp has taken a request that is not answered yet.
         self._has_taken = False
         self._is_pipelined = False
+        # The request whose response is being sent.
+        self._responding_to: BaseRequest | None = None
         # Set when no further request is to be read.
         self._reads_no_more = False
         self._left_poll: TimerHandle | None = None
@@ -144,9 +147,16 @@
 
     @property
     def is_sending(self) -> bool:
-        """Whether responses have not left the process yet."""
+        """Whether responses have not reached the caller's host yet.
+
+        What its host has not acknowledged is lost if the connection is reset,
+        as it is when it closes with requests that were not read.
+        """
         transport = self.transport
-        return transport is not None and transport.get_write_buffer_size() > 0
+        return transport is not None and (
+            transport.get_write_buffer_size() > 0
+            or unacknowledged_bytes(transport) > 0
+        )
 
     def take(self) -> None:
         """Record that aiohttp takes a request, and starts it soon."""
@@ -210,21 +220,29 @@
         """Return whether requests were read behind the one in turn."""
         return bool(self._messages)
 
-    def stop_reading(self) -> bool:
+    def stop_reading(self, req: BaseRequest) -> bool:
         """Read no further requests, as the node drains.
 
-        Returns whether the request in turn is the last one that was read, so
-        that its response may close the connection.
+        What was read is answered. What was not stays in the socket: a caller
+        may repeat a request that its node has not read. Returns whether `req`
+        is the last one that was read, so that its response may close the
+        connection.
         """
-        payload = (
-            self._messages[-1][1]
-            if self._messages
-            else self._current and self._current._payload
-        )
-        if payload and payload.is_eof():
+        if self._has_read_whole_requests(req):
             self._reads_no_more = True
-            self._unparsed = b''
-        return not self._messages
+            self._pause_reading_for_buffer()
+        return not self._messages and not self._unparsed
+
+    def hold_reading(self) -> None:
+        """Read no further requests until the response in turn is sent."""
+        req = self._responding_to
+        if req is not None and self._has_read_whole_requests(req):
+            self._pause_reading_for_buffer()
+
+    def _has_read_whole_requests(self, req: BaseRequest) -> bool:
+        """Return whether all requests that were read are parsed and whole."""
+        payload = self._messages[-1][1] if self._messages else req._payload
+        return not self._unparsed and bool(payload.is_eof())
 
     def _start_requests(self) -> None:
         """Start the requests behind the one in turn that may run now."""
@@ -292,6 +310,10 @@
         if self._left_poll is None:
             self._poll_if_left()
 
+    def _resume_reading_for_buffer(self) -> None:
+        if not self._reads_no_more:
+            super()._resume_reading_for_buffer()
+
     def _poll_if_left(self) -> None:
         self._left_poll = None
         if not self._buffer_paused or self.transport is None:
@@ -311,6 +333,7 @@
     ) -> tuple[StreamResponse, bool]:
         """Send a response; the last one of a pipeline stays readable."""
         sent = resp
+        self._responding_to = request
         if isinstance(sent, CallerResponse):
             sent.start_sending(self._loop.time())
         try:
@@ -318,22 +341,34 @@
                 request, resp, start_time
             )
         finally:
+            self._responding_to = None
             if isinstance(sent, CallerResponse):
                 sent.discard()
-        if self._is_pipelined and not reset and not resp.keep_alive:
+        if reset or resp.keep_alive:
+            if self._buffer_paused and not self._messages:
+                self._resume_reading_if_drained()
+        elif self._is_pipelined or self._reads_no_more:
             await self._linger()
         self._has_taken = False
         return resp, reset
 
     async def _linger(self) -> None:
         """Let the caller read the last response before the socket closes."""
-        self._reads_no_more = True
-        self._unparsed = b''
-        if self.transport is None or not self.transport.can_write_eof():
+        transport = self.transport
+        if transport is None or not transport.can_write_eof():
             return
-        self.transport.write_eof()
-        self._resume_transport_reading()
-        await sleep(LINGER_S)
+        transport.write_eof()
+        if not self._reads_no_more:
+            self._reads_no_more = True
+            self._unparsed = b''
+            self._resume_transport_reading()
+            await sleep(LINGER_S)
+            return
+        end_s = self._loop.time() + LINGER_S * self._is_pipelined
+        while not self.caller_has_left() and (
+            self.is_sending or self._loop.time() < end_s
+        ):
+            await sleep(FLUSH_POLL_S)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel the requests of a caller that has left."""
--- a/carawaylane/gateway/callers.py
+++ b/carawaylane/gateway/callers.py
@@ -117,6 +117,8 @@
         self._reader.refuses_requests = True
         stopping.refuse_waiting()
         self._close_idle_connections()
+        for conn in self._connections():
+            conn.hold_reading()
         await self._sleep_until(stopping.unseen_at_s)
         while (
             self._has_busy_connections() or self._target_paths.relayed_requests
@@ -141,7 +143,11 @@
         aiohttp's own method drops a request that arrives while it closes.
         """
         for conn in self._connections():
-            if not conn.is_busy and conn.transport is not None:
+            if (
+                conn.transport is not None
+                and not conn.is_busy
+                and not conn.is_sending
+            ):
                 conn.transport.close()
 
     def _has_busy_connections(self) -> bool:
@@ -211,7 +217,7 @@
             response = Response(status=500)
         finally:
             conn.end()
-        if self.kernel.draining and conn.stop_reading():
+        if self.kernel.draining and conn.stop_reading(req):
             response.force_close()
         return response
 
--- a/carawaylane/kernel/sockets.py
+++ b/carawaylane/kernel/sockets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from fcntl import ioctl
 from socket import (
     AI_PASSIVE,
     SO_LINGER,
@@ -11,7 +12,8 @@
     socket,
 )
 from socket import create_server as create_socket
-from struct import pack
+from struct import pack, unpack
+from termios import TIOCOUTQ
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -41,3 +43,18 @@
     # With a linger time of 0, a close sends RST instead of FIN.
     sock.setsockopt(SOL_SOCKET, SO_LINGER, pack('ii', 1, 0))
     transport.abort()
+
+
+def unacknowledged_bytes(transport: Transport) -> int:
+    """Return how much of what was sent the other host has not acknowledged.
+
+    0 if the kernel does not tell.
+    """
+    if transport.is_closing():
+        return 0
+    sock = transport.get_extra_info('socket')
+    try:
+        size: int = unpack('i', ioctl(sock.fileno(), TIOCOUTQ, bytes(4)))[0]
+    except OSError:
+        return 0
+    return size
