End a stop in time beside responses that are not sent yet

Callers saw nothing, but the platform had to kill the process: with a grace of 3 s, a stop beside a response that outlasts it took 3.06 s.

Cause: after the last moment for sending, the shutdown of aiohttp's server waited twice for 0.1 s for handlers that had no time left.

Change: at that moment the connections whose responses are not sent are closed, which ends their handlers. A response with a length or in chunks can't look complete then.

--- a/carawaylane/gateway/callers.py
+++ b/carawaylane/gateway/callers.py
@@ -133,10 +133,19 @@
             and self.kernel.now_s() < stopping.exit_s
         ):
             await sleep(DRAIN_POLL_S)
+        self._cut_connections()
 
     async def _sleep_until(self, time_s: float) -> None:
         await sleep(max(0.0, time_s - self.kernel.now_s()))
 
+    def _cut_connections(self) -> None:
+        """Close the connections whose responses are not sent yet."""
+        for conn in self._connections():
+            if conn.transport is not None and (
+                conn.is_busy or conn.is_sending
+            ):
+                conn.transport.abort()
+
     def _close_idle_connections(self) -> None:
         """Close the connections without a request.
 
--- a/tests/gateway/test_queued_in_stops.py
+++ b/tests/gateway/test_queued_in_stops.py
@@ -21,6 +21,7 @@
 
 # More than a node parses ahead.
 MANY = 40
+REFUSE_AT_S = 1.35
 
 
 @pytest.fixture(scope='module')
@@ -158,3 +159,26 @@
         assert_served_or_refused(await receive(reader), f'next-{name}', target)
         assert (await receive(reader)).status == 0
     assert await stop.end() < GRACE_S
+
+
+@pytest.mark.parametrize('queued_at_s', [0.3, 1.8])
+async def test_a_request_behind_an_answer_that_outlasts_a_stop_ends_with_it(
+    fleet, read_data, queued_at_s
+):
+    """The stop outlasted the grace, beside what was read and not answered."""
+    node, target = await start(fleet)
+    paths = dict.fromkeys(QUEUED, '/get/9')
+    conns = await send_long(fleet, node, target, paths)
+    stop = Stop(fleet, node)
+    await stop.reach(queued_at_s)
+    for name, (_, writer) in conns.items():
+        writer.write(QUEUED[name])
+    for name, (reader, _) in conns.items():
+        long = await receive(reader)
+        assert long.status == 200
+        assert not long.is_whole
+        assert target.runs[f'next-{name}'] <= (name == 'safe')
+    assert await stop.end() < GRACE_S
+    if queued_at_s > REFUSE_AT_S:
+        assert b'next' not in read_data
+    assert not target.sent
