Let a node that stops send the replies that its peers wait for

Callers saw: a node that is cut off has its requests sent by a peer. If the peer was stopped, large answers that had come in time were lost on their way: 502, and 504 for an unsafe request that had run.

Cause: a request that is sent for a peer counted until its answer had come from the target, not until the reply had been sent. The exit cut the rest.

Change: it counts until the reply has left the process and the peer's host has acknowledged it, as long as the stop allows.

The other three show that answers which end in a stop arrive through a peer, and that those which outlast it promise nothing and run once; no fault was found there.

--- a/carawaylane/gateway/caller_connection.py
+++ b/carawaylane/gateway/caller_connection.py
@@ -19,7 +19,7 @@
 from attrs import frozen
 
 from carawaylane.gateway.caller_responses import CallerResponse
-from carawaylane.kernel.sockets import unacknowledged_bytes
+from carawaylane.kernel.sockets import is_sending
 
 if TYPE_CHECKING:
     from asyncio import BaseTransport, TimerHandle
@@ -147,16 +147,8 @@
 
     @property
     def is_sending(self) -> bool:
-        """Whether responses have not reached the caller's host yet.
-
-        What its host has not acknowledged is lost if the connection is reset,
-        as it is when it closes with requests that were not read.
-        """
-        transport = self.transport
-        return transport is not None and (
-            transport.get_write_buffer_size() > 0
-            or unacknowledged_bytes(transport) > 0
-        )
+        """Whether responses have not reached the caller's host yet."""
+        return self.transport is not None and is_sending(self.transport)
 
     def take(self) -> None:
         """Record that aiohttp takes a request, and starts it soon."""
--- a/carawaylane/gateway/fleet_rpc.py
+++ b/carawaylane/gateway/fleet_rpc.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from asyncio import CancelledError, Queue
+from asyncio import CancelledError, Queue, sleep
 from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
@@ -22,6 +22,7 @@
 )
 from carawaylane.gateway.previews import Previews
 from carawaylane.kernel.service import Service, service
+from carawaylane.kernel.sockets import is_sending
 from carawaylane.rpc.connections import closed_connection_is_reset
 from carawaylane.rpc.fleet_codec import (
     pack_slot_reply,
@@ -41,6 +42,10 @@
     from carawaylane.rpc.fleet_pb2 import Call, Reply
 
 
+# How often it is checked whether a reply has been sent.
+FLUSH_POLL_S = 0.01
+
+
 class FleetHandler(FleetBase):
     """Passes the calls of other nodes to the services of this node."""
 
@@ -95,9 +100,14 @@
     async def Relay(self, stream: Any) -> None:  # noqa: N802
         """Send a request for a node that is cut off from the targets."""
         msg = await stream.recv_message()
-        reply = await self._target_paths.relay(msg)
-        with suppress(*RPC_ERRORS):
-            await send_message(stream, reply)
+        self._target_paths.relayed_requests += 1
+        try:
+            reply = await self._target_paths.relay(msg)
+            with suppress(*RPC_ERRORS):
+                await send_message(stream, reply)
+                await self._flush(stream)
+        finally:
+            self._target_paths.relayed_requests -= 1
 
     async def Reach(self, stream: Any) -> None:  # noqa: N802
         """Tell a peer which targets this node can connect to."""
@@ -124,6 +134,18 @@
         with suppress(*RPC_ERRORS):
             await send_message(stream, self._previews.preview(msg))
 
+    async def _flush(self, stream: Any) -> None:
+        """Wait until a peer has received a reply, if this node stops.
+
+        At the exit, the process loses what it has not sent, and the socket
+        what the peer has not acknowledged.
+        """
+        transport = stream._stream._transport
+        if self._svc.kernel.draining:
+            await stream.send_trailing_metadata()
+        while self._svc.kernel.draining and is_sending(transport):
+            await sleep(FLUSH_POLL_S)
+
     def _handle_call(
         self, call: Call, hello: Call, replies: Queue[Reply]
     ) -> None:
--- a/carawaylane/gateway/target_paths.py
+++ b/carawaylane/gateway/target_paths.py
@@ -73,7 +73,7 @@
         self.paths = TargetPaths()
         self._peers = RelayPeers(rng=kernel.rng)
         self._check: Task[None] | None = None
-        # Requests in flight that this node sends for peers.
+        # Requests of peers whose replies have not reached them yet.
         self.relayed_requests = 0
 
     async def start(self) -> None:
@@ -215,18 +215,14 @@
                 NeverSent(reason='no path to the target', own_path=True)
             )
         self._metrics.count('relayed_requests', way='in')
-        self.relayed_requests += 1
-        try:
-            return pack_relay_reply(
-                await self._exchange_directly(
-                    msg.target,
-                    msg.address,
-                    unpack_relayed_request(msg),
-                    msg.left_ms / 1000,
-                )
+        return pack_relay_reply(
+            await self._exchange_directly(
+                msg.target,
+                msg.address,
+                unpack_relayed_request(msg),
+                msg.left_ms / 1000,
             )
-        finally:
-            self.relayed_requests -= 1
+        )
 
     async def reach(self, msg: ReachRequest) -> ReachReply:
         """Return which of some targets this node can connect to."""
--- a/carawaylane/kernel/sockets.py
+++ b/carawaylane/kernel/sockets.py
@@ -12,7 +12,7 @@
     socket,
 )
 from socket import create_server as create_socket
-from struct import pack, unpack
+from struct import pack
 from termios import TIOCOUTQ
 from typing import TYPE_CHECKING
 
@@ -21,6 +21,8 @@
 
 # Maximum number of connections that wait to be accepted.
 LISTEN_BACKLOG = 1024
+# An integer of the kernel.
+NO_BYTES = bytes(4)
 
 
 def open_listener(address: str) -> socket:
@@ -45,16 +47,18 @@
     transport.abort()
 
 
-def unacknowledged_bytes(transport: Transport) -> int:
-    """Return how much of what was sent the other host has not acknowledged.
+def is_sending(transport: Transport) -> bool:
+    """Return whether the other host has not acknowledged all that was sent.
 
-    0 if the kernel does not tell.
+    False if the kernel does not tell. What is not acknowledged is lost if the
+    connection is reset, as it is when it closes with unread data.
     """
+    if transport.get_write_buffer_size():
+        return True
     if transport.is_closing():
-        return 0
+        return False
     sock = transport.get_extra_info('socket')
     try:
-        size: int = unpack('i', ioctl(sock.fileno(), TIOCOUTQ, bytes(4)))[0]
+        return ioctl(sock.fileno(), TIOCOUTQ, NO_BYTES) != NO_BYTES
     except OSError:
-        return 0
-    return size
+        return False
