Ask again whether a request may be sent, once there is a way to its target

Callers saw, late in a planned stop: a request that had its slot before the node refused others was passed on after that, and cut at the end with 504: up to 0.3 s later, as its connection took so long, and up to a second later, at a peer, as the node found meanwhile that it was cut off from the targets. Found by reading before; shown now.

Cause: whether an answer can be awaited was asked as the slot was granted, but the way to the target may have to be found first.

Change: it is asked again once there is a connection, and before each peer is asked. If it is too late, nothing was sent, so the caller is refused (503).

Before: 2 of 2 tests failed (test_stops.py::connection, test_relays_in_stops.py::late_in); the target had the requests of both kinds. After: 2 of 2, and 83 tests of stops, relays, exchanges, paths and attempts. A request costs one partial() more.

--- a/carawaylane/gateway/exchanges.py
+++ b/carawaylane/gateway/exchanges.py
@@ -43,6 +43,8 @@
 from carawaylane.telemetry.events import ANSWER_DOUBTFUL, emit
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from carawaylane.decisions.admission.memory_budget import Holding
     from carawaylane.gateway.target_connections import Connection
     from carawaylane.kernel.kernel import Kernel
@@ -58,6 +60,11 @@
 ExchangeResult = CompleteAnswer | NeverSent | RefusedByTarget | BrokenExchange
 
 
+def always() -> bool:
+    """Return True: a request may be sent at any time."""
+    return True
+
+
 @define(kw_only=True, eq=False, repr=False)
 class _PartialBody:
     """The part of a large body that is read, and the reader of the rest."""
@@ -93,9 +100,11 @@
         address: str,
         request: OutgoingRequest,
         time_left_s: float,
+        may_send: Callable[[], bool] = always,
     ) -> ExchangeResult:
         """Send a request to a target and return the result.
 
+        It is not sent if `may_send` returns False once there is a connection.
         Cancelling the exchange closes the connection, so that the target
         stops working on the request.
         """
@@ -112,6 +121,8 @@
                 return NeverSent(reason=type(exc).__name__)
             # The target may have answered others since.
             withheld = self._withheld(target, request)
+            if withheld is None and not may_send():
+                withheld = NeverSent(reason='too late', withheld=True)
             if withheld is not None:
                 self.pool.put(address, conn, self.kernel.now_s())
                 return withheld
--- a/carawaylane/gateway/forwarding.py
+++ b/carawaylane/gateway/forwarding.py
@@ -204,6 +204,7 @@
                 grant.address,
                 routed.request,
                 routed.deadline_s - now_s,
+                self._slot_checks.may_send(state),
             )
         )
         state.in_flight.append(
--- a/carawaylane/gateway/slot_checks.py
+++ b/carawaylane/gateway/slot_checks.py
@@ -8,6 +8,7 @@
 
 from asyncio import get_running_loop
 from contextlib import contextmanager
+from functools import partial
 from typing import TYPE_CHECKING
 
 from carawaylane.decisions.placement.failure_estimate import Result
@@ -19,7 +20,7 @@
 from carawaylane.messages.dispatch import Refusal
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from carawaylane.gateway.attempts import ForwardState
     from carawaylane.gateway.dispatch import GrantedSlot
@@ -78,12 +79,7 @@
         self, state: ForwardState, ticket: Ticket
     ) -> Refusal | None:
         """Return a refusal if the node stops before an answer can come."""
-        routed = state.routed
-        if self._stopping.may_send(
-            routed.deadline_s,
-            routed.route.objective_s,
-            again=state.may_have_run,
-        ):
+        if self.may_send(state)():
             return None
         return Refusal(
             ticket=ticket,
@@ -91,6 +87,19 @@
             reason=NODE_STOPS,
         )
 
+    def may_send(self, state: ForwardState) -> Callable[[], bool]:
+        """Return whether the next attempt may be sent, as a function.
+
+        It is asked again after each wait, such as that for a connection.
+        """
+        routed = state.routed
+        return partial(
+            self._stopping.may_send,
+            routed.deadline_s,
+            routed.route.objective_s,
+            again=state.may_have_run,
+        )
+
     def _is_key_withdrawn(self, state: ForwardState) -> bool:
         """Return whether the customer lost its key since the request came."""
         credential = state.routed.credential
--- a/carawaylane/gateway/target_paths.py
+++ b/carawaylane/gateway/target_paths.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from carawaylane.decisions.targets.target_paths import RelayPeers, TargetPaths
+from carawaylane.gateway.exchanges import always
 from carawaylane.gateway.relays import NotRelayed
 from carawaylane.kernel.service import Service, service
 from carawaylane.platform.headers import PROMISE_STATUSES
@@ -36,7 +37,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Callable, Collection
 
     from carawaylane.gateway.exchanges import ExchangeResult
     from carawaylane.kernel.kernel import Kernel
@@ -93,20 +94,22 @@
         address: str,
         request: OutgoingRequest,
         time_left_s: float,
+        may_send: Callable[[], bool] = always,
     ) -> ExchangeResult:
         """Send a request to a target and return the result.
 
-        Cancelling this closes the connection, also that of a peer.
+        It is not sent once `may_send` returns False. Cancelling this closes
+        the connection, also that of a peer.
         """
         deadline_s = self.kernel.now_s() + time_left_s
         if not self.paths.cut_off:
             result = await self._exchange_directly(
-                target, address, request, time_left_s
+                target, address, request, time_left_s, may_send
             )
             if not (isinstance(result, NeverSent) and self.paths.cut_off):
                 return result
         return await self._exchange_through_peers(
-            target, address, request, deadline_s
+            target, address, request, deadline_s, may_send
         )
 
     async def _exchange_directly(
@@ -115,10 +118,11 @@
         address: str,
         request: OutgoingRequest,
         time_left_s: float,
+        may_send: Callable[[], bool] = always,
     ) -> ExchangeResult:
         deadline_s = self.kernel.now_s() + time_left_s
         result = await self._exchanges.exchange(
-            target, address, request, time_left_s
+            target, address, request, time_left_s, may_send
         )
         match result:
             case CompleteAnswer() | RefusedByTarget():
@@ -143,6 +147,7 @@
         address: str,
         request: OutgoingRequest,
         deadline_s: float,
+        may_send: Callable[[], bool],
     ) -> ExchangeResult:
         withheld = self._backpressure.withheld(target, request.request_id)
         if withheld is not None:
@@ -156,7 +161,7 @@
             ]
             left_s = deadline_s - self.kernel.now_s() - RELAY_MARGIN_S
             member = self._peers.choose(peers, tried, self.kernel.now_s())
-            if member is None or left_s <= 0:
+            if member is None or left_s <= 0 or not may_send():
                 break
             tried.add(member)
             sent_at_s = self.kernel.now_s()
--- a/tests/gateway/test_relays_in_stops.py
+++ b/tests/gateway/test_relays_in_stops.py
@@ -12,7 +12,13 @@
 from standins.raw_target import Reply
 from tests.gateway.conftest import connect
 from tests.gateway.long_answers import plan, receive, request
-from tests.gateway.planned_stops import GRACE_S, Stop, hang
+from tests.gateway.planned_stops import (
+    GRACE_S,
+    LATE_S,
+    Stop,
+    assert_refused,
+    hang,
+)
 from tests.gateway.test_cut_off_nodes import cut_off
 from tests.gateway.test_daemon import (
     boot_spec,
@@ -136,3 +142,23 @@
     if not delay_s:
         await fleet.wait_until(lambda: target.aborted_requests == len(KINDS))
     assert len(target.requests) == len(KINDS)
+
+
+async def test_no_request_is_sent_through_a_peer_late_in_a_stop(fleet):
+    """The node finds that it is cut off after it has granted the slot."""
+    node, target = await start(fleet, hang)
+    await fleet.start_node('n2')
+    members = node.find('directory').members
+    await fleet.wait_until(lambda: len(members) == 2)
+    cut_off(node, 'hang')
+    stop = Stop(fleet, node)
+    # It can't connect until it refuses requests.
+    await stop.reach(LATE_S)
+    conns = [await connect(node) for _ in KINDS]
+    for kind, (_, writer) in zip(KINDS, conns, strict=True):
+        writer.write(request(f'r-{kind}', f'/{kind}/x'))
+    for reader, _ in conns:
+        answer = await receive(reader)
+        assert_refused(answer.status, answer.head.encode())
+    assert await stop.end() < GRACE_S
+    assert not target.requests
--- a/tests/gateway/test_stops.py
+++ b/tests/gateway/test_stops.py
@@ -222,3 +222,28 @@
     assert_refused(*await answer_of(conn))
     assert await stop.end() < GRACE_S
     assert len(received) == 1
+
+
+async def test_a_request_that_waits_for_a_connection_is_refused_in_a_stop(
+    fleet,
+):
+    """It was sent as the connection came, when requests are refused."""
+    node, target = await start(fleet)
+    pool = node.find('exchanges').pool
+    open_connection = pool.open
+    opened = []
+
+    async def open_late(address):
+        opened.append(address)
+        await sleep(0.27)
+        return await open_connection(address)
+
+    pool.open = open_late
+    stop = Stop(fleet, node)
+    await stop.reach(LATE_S)
+    conns = [await send(node, kind) for kind in ROUTES]
+    await fleet.wait_until(lambda: len(opened) == 2)
+    for conn in conns:
+        assert_refused(*await answer_of(conn))
+    assert await stop.end() < GRACE_S
+    assert not target.requests
