--- a/carawaylane/gateway/callers.py
+++ b/carawaylane/gateway/callers.py
@@ -117,6 +117,8 @@
         self._reader.refuses_requests = True
         stopping.refuse_waiting()
         self._close_idle_connections()
+        for conn in self._connections():
+            conn.hold_reading()
         await self._sleep_until(stopping.unseen_at_s)
         while (
             self._has_busy_connections() or self._target_paths.relayed_requests
@@ -131,17 +133,30 @@
             and self.kernel.now_s() < stopping.exit_s
         ):
             await sleep(DRAIN_POLL_S)
+        self._cut_connections()
 
     async def _sleep_until(self, time_s: float) -> None:
         await sleep(max(0.0, time_s - self.kernel.now_s()))
 
+    def _cut_connections(self) -> None:
+        """Close the connections whose responses are not sent yet."""
+        for conn in self._connections():
+            if conn.transport is not None and (
+                conn.is_busy or conn.is_sending
+            ):
+                conn.transport.abort()
+
     def _close_idle_connections(self) -> None:
         """Close the connections without a request.
 
         aiohttp's own method drops a request that arrives while it closes.
         """
         for conn in self._connections():
-            if not conn.is_busy and conn.transport is not None:
+            if (
+                conn.transport is not None
+                and not conn.is_busy
+                and not conn.is_sending
+            ):
                 conn.transport.close()
 
     def _has_busy_connections(self) -> bool:
@@ -211,7 +226,7 @@
             response = Response(status=500)
         finally:
             conn.end()
-        if self.kernel.draining and conn.stop_reading():
+        if self.kernel.draining and conn.stop_reading(req):
             response.force_close()
         return response
 
--- a/carawaylane/gateway/fleet_rpc.py
+++ b/carawaylane/gateway/fleet_rpc.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from asyncio import CancelledError, Queue, timeout
+from asyncio import CancelledError, Queue, sleep, timeout
 from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
@@ -22,6 +22,7 @@
 )
 from carawaylane.gateway.previews import Previews
 from carawaylane.kernel.service import Service, service
+from carawaylane.kernel.sockets import is_sending
 from carawaylane.rpc.connections import closed_connection_is_reset
 from carawaylane.rpc.fleet_codec import (
     pack_slot_reply,
@@ -43,6 +44,8 @@
 # A reply that is ready as the time of its request ends may still be sent this
 # long. A peer that waits no more has cancelled the call by then.
 MIN_REPLY_SEND_S = 1.0
+# How often it is checked whether a reply has been sent.
+FLUSH_POLL_S = 0.01
 
 
 class FleetHandler(FleetBase):
@@ -100,24 +103,13 @@
     async def Relay(self, stream: Any) -> None:  # noqa: N802
         """Send a request for a node that is cut off from the targets."""
         msg: RelayRequest = await stream.recv_message()
-        now_s = self._svc.kernel.now_s
-        deadline_s = now_s() + msg.left_ms / 1000
-        reply = await self._target_paths.relay(msg)
-        size = self._exchanges.answer_memory.new_answer()
-        if not size.grow_to(len(reply.body)):
-            reply = RelayReply(
-                result=RelayReply.BROKEN, reason='no memory for the reply'
-            )
+        deadline_s = self._svc.kernel.now_s() + msg.left_ms / 1000
+        self._target_paths.relayed_requests += 1
         try:
-            async with timeout(max(deadline_s - now_s(), MIN_REPLY_SEND_S)):
-                await send_message(stream, reply)
-        except TimeoutError:
-            with suppress(*RPC_ERRORS):
-                await stream.cancel()
-        except RPC_ERRORS:
-            return
+            reply = await self._target_paths.relay(msg)
+            await self._send_relayed(stream, reply, deadline_s)
         finally:
-            size.release()
+            self._target_paths.relayed_requests -= 1
 
     async def Reach(self, stream: Any) -> None:  # noqa: N802
         """Tell a peer which targets this node can connect to."""
@@ -144,6 +136,40 @@
         with suppress(*RPC_ERRORS):
             await send_message(stream, self._previews.preview(msg))
 
+    async def _send_relayed(
+        self, stream: Any, reply: RelayReply, deadline_s: float
+    ) -> None:
+        """Send the reply to a request of a peer while the peer waits."""
+        size = self._exchanges.answer_memory.new_answer()
+        if not size.grow_to(len(reply.body)):
+            reply = RelayReply(
+                result=RelayReply.BROKEN, reason='no memory for the reply'
+            )
+        left_s = deadline_s - self._svc.kernel.now_s()
+        try:
+            async with timeout(max(left_s, MIN_REPLY_SEND_S)):
+                await send_message(stream, reply)
+                await self._flush(stream)
+        except TimeoutError:
+            with suppress(*RPC_ERRORS):
+                await stream.cancel()
+        except RPC_ERRORS:
+            return
+        finally:
+            size.release()
+
+    async def _flush(self, stream: Any) -> None:
+        """Wait until a peer has received a reply, if this node stops.
+
+        At the exit, the process loses what it has not sent, and the socket
+        what the peer has not acknowledged.
+        """
+        transport = stream._stream._transport
+        if self._svc.kernel.draining:
+            await stream.send_trailing_metadata()
+        while self._svc.kernel.draining and is_sending(transport):
+            await sleep(FLUSH_POLL_S)
+
     def _handle_call(
         self, call: Call, hello: Call, replies: Queue[Reply]
     ) -> None:
--- a/carawaylane/kernel/sockets.py
+++ b/carawaylane/kernel/sockets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from fcntl import ioctl
 from socket import (
     AI_PASSIVE,
     SO_LINGER,
@@ -12,6 +13,7 @@
 )
 from socket import create_server as create_socket
 from struct import pack
+from termios import TIOCOUTQ
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -19,6 +21,8 @@
 
 # Maximum number of connections that wait to be accepted.
 LISTEN_BACKLOG = 1024
+# An integer of the kernel.
+NO_BYTES = bytes(4)
 
 
 def open_listener(address: str) -> socket:
@@ -41,3 +45,20 @@
     # With a linger time of 0, a close sends RST instead of FIN.
     sock.setsockopt(SOL_SOCKET, SO_LINGER, pack('ii', 1, 0))
     transport.abort()
+
+
+def is_sending(transport: Transport) -> bool:
+    """Return whether the other host has not acknowledged all that was sent.
+
+    False if the kernel does not tell. What is not acknowledged is lost if the
+    connection is reset, as it is when it closes with unread data.
+    """
+    if transport.get_write_buffer_size():
+        return True
+    if transport.is_closing():
+        return False
+    sock = transport.get_extra_info('socket')
+    try:
+        return ioctl(sock.fileno(), TIOCOUTQ, NO_BYTES) != NO_BYTES
+    except OSError:
+        return False
