Identify the starts of targets instead of ordering them

A target that said it was leaving, or asked for a pause, and then started again under its id on a host whose clock was behind, got no request any more: for good if it had been leaving. So did one that had registered again elsewhere while its first start still answered and said that it was leaving, also with right clocks; callers got "all targets are leaving".

Nodes and homes kept the time up to which the targets that they meant had started, by the clock of the node that got the answer, and compared it with the start that the target had registered by its own clock. And an answer counted for the start that was listed as it came, not for the one to which the request was sent.

A start identifies an incarnation now. A request remembers the start that its node knew when it was sent, if it went to the address of that entry. Wishes are kept by start, and the homes are told which start they are of, in a field of its own; the old field stays for older builds. If a node may not have heard of a restart yet, the next start keeps to the wish for 3 s, in which changes of entries reach all nodes. Which entry is the newest is decided by the store's revisions, as before.

The stand-in of tests/gateway/test_target_paths.py has the new method.

--- a/carawaylane/decisions/placement/target_pool.py
+++ b/carawaylane/decisions/placement/target_pool.py
@@ -153,8 +153,11 @@
         self._free = None
         self.changed.add(notice.target)
         self.rate_limits.apply(notice, now_s)
-        self.withheld.apply(notice, entry, now_s)
-        if (target := self.targets.get(notice.target)) is not None:
+        target = self.targets.get(notice.target)
+        self.withheld.apply(
+            notice, entry, target.spec if target else None, now_s
+        )
+        if target is not None:
             target.leaving = self.withheld.is_leaving(target.spec)
 
     def has_open_target(
--- a/carawaylane/decisions/targets/backpressure.py
+++ b/carawaylane/decisions/targets/backpressure.py
@@ -28,6 +28,11 @@
 # A longer pause is more likely an error of the target than its wish, and the
 # target would not be used again for as long.
 MAX_PAUSE_S = 600.0
+# A node may hear of a restart this much later than the target answers: changes
+# of the store's entries have reached all nodes after it.
+NEWS_S = 3.0
+# Starts of a target whose wishes are remembered.
+MAX_STARTS = 4
 NEVER_S = float('-inf')
 
 
@@ -40,34 +45,49 @@
     heard_at_s: float
 
 
+@define(kw_only=True, eq=False, repr=False)
+class _Wishes:
+    """What an incarnation of a target said of further requests.
+
+    They may be those of a later incarnation that started at the Unix time
+    `started_until_ms` or before.
+    """
+
+    paused_until_s: float = NEVER_S
+    leaving: bool = False
+    started_until_ms: int = 0
+    heard_at_s: float = NEVER_S
+
+
 @define(kw_only=True, eq=False, repr=False)
 class _HeardTarget:
     """What the answers of a target said.
 
-    A pause or leaving applies to incarnations of the target that started at
-    the Unix time `started_until_ms` or before. `new_at_s` is when an answer
-    last said something new.
+    The wishes are kept by the start of the incarnation, the last heard ones
+    last. `new_at_s` is when an answer last said something new.
     """
 
     service: str
     limit: _HeardLimit | None = None
-    paused_until_s: float = NEVER_S
-    leaving: bool = False
-    started_until_ms: int = 0
+    wishes: dict[int | None, _Wishes] = Factory(dict)
     heard_at_s: float = NEVER_S
     new_at_s: float = NEVER_S
 
 
 @frozen(kw_only=True, repr=False)
 class TargetIdentity:
-    """A target at the time of an answer, and the Unix time of the answer.
+    """The incarnation of a target to which a request was sent.
 
-    `started_ms` is 0 if it is not known when the target started.
+    `started_ms` identifies it: it is what the target registered as the Unix
+    time of its start, by the clock of its host, 0 if it registered none, and
+    None if the request may have reached another incarnation. `now_ms` is the
+    Unix time of the answer, 0 if a later incarnation is known not to have
+    given it.
     """
 
     name: str
     service: str = ''
-    started_ms: int = 0
+    started_ms: int | None = 0
     now_ms: int = 0
 
 
@@ -91,14 +111,25 @@
     def withheld(
         self, target: str, started_ms: int, now_s: float
     ) -> str | None:
-        """Return why no request may be sent to a target; None if one may."""
+        """Return why no request may be sent to a target; None if one may.
+
+        What an incarnation said applies to it only. For a short time it also
+        applies to one that may have given the answer, as its start was not
+        known yet.
+        """
         heard = self._by_target.get(target)
-        if heard is None or started_ms > heard.started_until_ms:
+        if heard is None:
             return None
-        if heard.leaving:
-            return 'the target is leaving'
-        if now_s < heard.paused_until_s:
-            return 'the target asked for a pause'
+        for known_ms, wishes in heard.wishes.items():
+            if started_ms != known_ms and (
+                started_ms > wishes.started_until_ms
+                or now_s >= wishes.heard_at_s + NEWS_S
+            ):
+                continue
+            if wishes.leaving:
+                return 'the target is leaving'
+            if now_s < wishes.paused_until_s:
+                return 'the target asked for a pause'
         return None
 
     def record_answer(
@@ -140,6 +171,7 @@
             )
         if not (names_rate or pause_s > 0 or backpressure.leaving):
             return None
+        wishes = heard.wishes.get(target.started_ms) if heard else None
         return BackpressureNotice(
             target=target.name,
             rate_per_s=limit if isinstance(limit, float) else None,
@@ -147,7 +179,8 @@
             names_rate=names_rate,
             pause_left_s=min(pause_s, MAX_PAUSE_S),
             leaving=backpressure.leaving,
-            started_until_ms=heard.started_until_ms if heard else 0,
+            started_ms=target.started_ms,
+            started_until_ms=wishes.started_until_ms if wishes else 0,
         )
 
     def _record_limit(
@@ -174,26 +207,25 @@
         leaving: bool,
         now_s: float,
     ) -> None:
-        """Record a pause, and that a target is leaving.
-
-        An incarnation that started later than this answer came is not meant.
-        """
+        """Record a pause, and that a target is leaving."""
         if not (leaving or pause_s > 0):
             return
-        if target.started_ms > heard.started_until_ms:
-            heard.leaving = False
-            heard.paused_until_s = NEVER_S
-        heard.started_until_ms = max(
-            heard.started_until_ms, target.started_ms, target.now_ms
+        wishes = heard.wishes.pop(target.started_ms, None) or _Wishes()
+        heard.wishes[target.started_ms] = wishes
+        if len(heard.wishes) > MAX_STARTS:
+            del heard.wishes[next(iter(heard.wishes))]
+        wishes.started_until_ms = max(
+            wishes.started_until_ms, target.started_ms or 0, target.now_ms
         )
+        wishes.heard_at_s = now_s
         paused_until_s = now_s + min(pause_s, MAX_PAUSE_S)
-        if leaving > heard.leaving or (
-            pause_s > 0 and paused_until_s > heard.paused_until_s
+        if leaving > wishes.leaving or (
+            pause_s > 0 and paused_until_s > wishes.paused_until_s
         ):
             self._mark_new(heard, now_s)
-        heard.leaving = heard.leaving or leaving
+        wishes.leaving = wishes.leaving or leaving
         if pause_s > 0:
-            heard.paused_until_s = max(heard.paused_until_s, paused_until_s)
+            wishes.paused_until_s = max(wishes.paused_until_s, paused_until_s)
 
     def _mark_new(self, heard: _HeardTarget, now_s: float) -> None:
         heard.new_at_s = now_s
@@ -221,22 +253,43 @@
             for target, heard in self._by_target.items()
             if heard.service == service
             and (heard.limit is not None or heard.new_at_s > reported_at_s)
-            and (notice := self._notice(target, heard, now_s)) is not None
+            and (
+                notice := self._notice(
+                    target,
+                    heard,
+                    [start for start in heard.wishes if start is not None],
+                    now_s,
+                )
+            )
+            is not None
         )
 
     def notice_of(
         self, target: str, now_s: float
     ) -> BackpressureNotice | None:
-        """Return what is known of a target, None if nothing is."""
+        """Return what is known of a target, None if nothing is.
+
+        The home that granted the request that was answered last knows which
+        incarnation that was, if this node doesn't.
+        """
         heard = self._by_target.get(target)
-        return self._notice(target, heard, now_s) if heard else None
+        if heard is None:
+            return None
+        return self._notice(target, heard, list(heard.wishes), now_s)
 
     def _notice(
-        self, target: str, heard: _HeardTarget, now_s: float
+        self,
+        target: str,
+        heard: _HeardTarget,
+        starts: list[int | None],
+        now_s: float,
     ) -> BackpressureNotice | None:
+        """Return the limit, and the wishes of the last one of some starts."""
         limit = heard.limit
-        pause_left_s = max(0.0, heard.paused_until_s - now_s)
-        if limit is None and not (heard.leaving or pause_left_s > 0):
+        started_ms = starts[-1] if starts else None
+        wishes = heard.wishes[started_ms] if starts else _Wishes()
+        pause_left_s = max(0.0, wishes.paused_until_s - now_s)
+        if limit is None and not (wishes.leaving or pause_left_s > 0):
             return None
         return BackpressureNotice(
             target=target,
@@ -245,8 +298,9 @@
             heard_age_s=now_s - limit.heard_at_s if limit else 0.0,
             names_rate=limit is not None,
             pause_left_s=pause_left_s,
-            leaving=heard.leaving,
-            started_until_ms=heard.started_until_ms,
+            leaving=wishes.leaving,
+            started_ms=started_ms,
+            started_until_ms=wishes.started_until_ms,
         )
 
     def forget_reports_to(self, home: str) -> None:
@@ -263,5 +317,7 @@
             if now_s - heard.heard_at_s <= MEMORY_S:
                 continue
             heard.limit = None
-            if target not in present or not heard.leaving:
+            if target not in present or not any(
+                wishes.leaving for wishes in heard.wishes.values()
+            ):
                 del self._by_target[target]
--- a/carawaylane/decisions/targets/withheld_targets.py
+++ b/carawaylane/decisions/targets/withheld_targets.py
@@ -10,7 +10,7 @@
 
 from attrs import Factory, define, frozen
 
-from carawaylane.decisions.targets.backpressure import MEMORY_S
+from carawaylane.decisions.targets.backpressure import MAX_STARTS, MEMORY_S
 
 if TYPE_CHECKING:
     from collections.abc import Container, Iterable
@@ -20,20 +20,12 @@
     from carawaylane.messages.platform_objects import TargetSpec
 
 
-@frozen(kw_only=True, eq=False, repr=False)
-class _Leaving:
-    """Incarnations of a target that leave: those started until a Unix time."""
-
-    started_until_ms: int
-    heard_at_s: float
-
-
 @frozen(kw_only=True, eq=False, repr=False)
 class _Pause:
-    """How long an entry sends nothing to some incarnations of a target."""
+    """How long an entry sends nothing to an incarnation of a target."""
 
     until_s: float
-    started_until_ms: int
+    started_ms: int
 
 
 @define(kw_only=True, eq=False, repr=False)
@@ -41,45 +33,51 @@
     """What the targets of a service asked of the entries, as a home knows it.
 
     It outlasts changes of the list of targets, so that one which lapses and
-    comes back is still withheld.
+    comes back is still withheld. An incarnation is identified by its start.
+    Starts are not ordered, as the clocks of hosts differ.
     """
 
-    _leaving: dict[str, _Leaving] = Factory(dict)
+    # By target and start: when an entry last heard that it leaves.
+    _leaving: dict[str, dict[int, float]] = Factory(dict)
     # By target and entry.
     _pauses: dict[str, dict[str, _Pause]] = Factory(dict)
     # By entry: the end of its last pause.
     _last_pause_s: dict[str, float] = Factory(dict)
 
     def apply(
-        self, notice: BackpressureNotice, entry: str, now_s: float
+        self,
+        notice: BackpressureNotice,
+        entry: str,
+        present: TargetSpec | None,
+        now_s: float,
     ) -> None:
-        """Take over what a target asked of an entry."""
+        """Take over what a target, as it is at present, asked of an entry."""
+        started_ms = notice.start_of(present.started_ms if present else None)
+        if started_ms is None:
+            return
         if notice.leaving:
-            known = self._leaving.get(notice.target)
-            self._leaving[notice.target] = _Leaving(
-                started_until_ms=max(
-                    notice.started_until_ms,
-                    known.started_until_ms if known else 0,
-                ),
-                heard_at_s=now_s,
-            )
+            starts = self._leaving.setdefault(notice.target, {})
+            starts.pop(started_ms, None)
+            starts[started_ms] = now_s
+            if len(starts) > MAX_STARTS:
+                del starts[next(iter(starts))]
         if notice.pause_left_s > 0:
             until_s = now_s + notice.pause_left_s
             pauses = self._pauses.setdefault(notice.target, {})
-            if entry not in pauses or pauses[entry].until_s < until_s:
-                pauses[entry] = _Pause(
-                    until_s=until_s, started_until_ms=notice.started_until_ms
-                )
+            known = pauses.get(entry)
+            if (
+                known is None
+                or known.started_ms != started_ms
+                or known.until_s < until_s
+            ):
+                pauses[entry] = _Pause(until_s=until_s, started_ms=started_ms)
             self._last_pause_s[entry] = max(
                 until_s, self._last_pause_s.get(entry, 0.0)
             )
 
     def is_leaving(self, spec: TargetSpec) -> bool:
         """Return whether a target said that it is about to stop."""
-        leaving = self._leaving.get(spec.name)
-        return (
-            leaving is not None and spec.started_ms <= leaving.started_until_ms
-        )
+        return spec.started_ms in self._leaving.get(spec.name, ())
 
     def open_to(
         self, entry: str, targets: list[TargetState], now_s: float
@@ -111,16 +109,16 @@
     ) -> float:
         """Return how long an entry is to send nothing, 0 if it may."""
         pause = self._pauses.get(spec.name, {}).get(entry)
-        if pause is None or spec.started_ms > pause.started_until_ms:
+        if pause is None or spec.started_ms != pause.started_ms:
             return 0.0
         return max(0.0, pause.until_s - now_s)
 
     def forget_old(self, present: Container[str], now_s: float) -> None:
         """Forget pauses that have ended, and targets that are gone."""
         self._leaving = {
-            name: leaving
-            for name, leaving in self._leaving.items()
-            if name in present or now_s - leaving.heard_at_s <= MEMORY_S
+            name: starts
+            for name, starts in self._leaving.items()
+            if name in present or now_s - max(starts.values()) <= MEMORY_S
         }
         self._last_pause_s = {
             entry: until_s
--- a/carawaylane/gateway/backpressure.py
+++ b/carawaylane/gateway/backpressure.py
@@ -5,6 +5,8 @@
 from asyncio import sleep
 from typing import TYPE_CHECKING
 
+from attrs import evolve
+
 from carawaylane.decisions.targets.backpressure import (
     HeardBackpressure,
     TargetIdentity,
@@ -69,9 +71,21 @@
             )
         return reason
 
+    def identify(self, target: str, address: str) -> TargetIdentity:
+        """Return which incarnation a request is about to be sent to."""
+        spec = self._directory.targets.get(target)
+        if spec is None:
+            return TargetIdentity(name=target, started_ms=None)
+        return TargetIdentity(
+            name=target,
+            service=spec.service,
+            # Homes may know another incarnation than this node.
+            started_ms=spec.started_ms if spec.address == address else None,
+        )
+
     def record_result(
         self,
-        target: str,
+        identity: TargetIdentity,
         result: ExchangeResult,
         request_id: str,
         sent_at_s: float,
@@ -86,15 +100,12 @@
             and result.backpressure == NO_BACKPRESSURE
         ):
             return
-        spec = self._directory.targets.get(target)
+        target = identity.name
+        if result.backpressure != NO_BACKPRESSURE:
+            identity = self._at_answer(identity)
         limit_before = self.heard.rate_of(target)
         notice = self.heard.record_answer(
-            TargetIdentity(
-                name=target,
-                service=spec.service if spec else '',
-                started_ms=spec.started_ms if spec else 0,
-                now_ms=self.kernel.now_ms(),
-            ),
+            identity,
             result.backpressure,
             sent_at_s,
             self.kernel.now_s(),
@@ -105,6 +116,20 @@
         if limit != limit_before:
             emit(RATE_LIMIT, target=target, per_s=limit, before=limit_before)
 
+    def _at_answer(self, identity: TargetIdentity) -> TargetIdentity:
+        """Return which incarnations may have answered.
+
+        One of which this node has learned since the request was sent, did not.
+        """
+        spec = self._directory.targets.get(identity.name)
+        if (
+            identity.started_ms is not None
+            and spec is not None
+            and spec.started_ms != identity.started_ms
+        ):
+            return identity
+        return evolve(identity, now_ms=self.kernel.now_ms())
+
     def _log_answer(
         self,
         target: str,
--- a/carawaylane/gateway/exchanges.py
+++ b/carawaylane/gateway/exchanges.py
@@ -116,6 +116,7 @@
                 self.pool.put(address, conn, self.kernel.now_s())
                 return withheld
         time_left_s -= self.kernel.now_s() - started_at_s
+        identity = self._backpressure.identify(target, address)
         completed = False
         result: ExchangeResult | None = None
         try:
@@ -125,7 +126,7 @@
                 )
             completed = not isinstance(result, BrokenExchange)
             self._backpressure.record_result(
-                target, result, request.request_id, started_at_s
+                identity, result, request.request_id, started_at_s
             )
             return result
         except TimeoutError:
--- a/carawaylane/gateway/target_paths.py
+++ b/carawaylane/gateway/target_paths.py
@@ -160,6 +160,7 @@
                 break
             tried.add(member)
             sent_at_s = self.kernel.now_s()
+            identity = self._backpressure.identify(target, address)
             reply = await self._relays.relay(
                 self._directory.members[member].address,
                 pack_relay_request(target, address, request, left_s),
@@ -167,7 +168,7 @@
             )
             result = _relay_result(reply)
             self._backpressure.record_result(
-                target, result, request.request_id, sent_at_s
+                identity, result, request.request_id, sent_at_s
             )
             emit(
                 REQUEST_RELAYED,
--- a/carawaylane/messages/dispatch.py
+++ b/carawaylane/messages/dispatch.py
@@ -62,8 +62,9 @@
     with `names_rate` unset the notice says nothing of it. `sent_age_s` is the
     time since the request was sent, `heard_age_s` that since the answer
     arrived. The entry sends the target nothing for `pause_left_s`, and
-    nothing more if it is `leaving`; both apply to incarnations that started
-    at the Unix time `started_until_ms` or before.
+    nothing more if it is `leaving`. Both apply to the incarnation that
+    registered the start `started_ms`; if that is None, to the present one
+    unless it started after the Unix time `started_until_ms`.
     """
 
     target: str
@@ -73,8 +74,21 @@
     names_rate: bool = True
     pause_left_s: float = 0.0
     leaving: bool = False
+    started_ms: int | None = None
     started_until_ms: int = 0
 
+    def start_of(self, present_ms: int | None) -> int | None:
+        """Return the start that is meant, None if it can't be known.
+
+        `present_ms` is that of the target's present incarnation, None if it
+        has none.
+        """
+        if self.started_ms is not None:
+            return self.started_ms
+        if present_ms is None or present_ms > self.started_until_ms:
+            return None
+        return present_ms
+
     @property
     def withholds(self) -> bool:
         """Whether the entry sends the target no requests for now."""
--- a/carawaylane/rpc/fleet_codec.py
+++ b/carawaylane/rpc/fleet_codec.py
@@ -126,6 +126,8 @@
         # Rounded up, so that a pause that has not ended is not 0.
         pause_left_ms=ceil(notice.pause_left_s * 1000),
         leaving=notice.leaving,
+        started_ms=notice.started_ms,
+        # Older builds order the starts of targets.
         started_until_ms=notice.started_until_ms,
     )
 
@@ -150,6 +152,9 @@
                 names_rate=False,
                 pause_left_s=msg.pause_left_ms / 1000,
                 leaving=msg.leaving,
+                started_ms=msg.started_ms
+                if msg.HasField('started_ms')
+                else None,
                 started_until_ms=msg.started_until_ms,
             )
             for msg in withheld
--- a/tests/decisions/targets/test_restarted_targets.py
+++ b/tests/decisions/targets/test_restarted_targets.py
@@ -3,8 +3,17 @@
 from json import dumps
 from random import Random
 
+import pytest
+
 from carawaylane.decisions.placement.failure_estimate import Result
+from carawaylane.decisions.targets.backpressure import (
+    MAX_STARTS,
+    NEWS_S,
+    HeardBackpressure,
+    TargetIdentity,
+)
 from carawaylane.messages.dispatch import Grant
+from carawaylane.messages.outcomes import Backpressure
 from carawaylane.messages.platform_objects import InvalidObject, TargetSpec
 from carawaylane.platform.documents import decode_target
 from tests.decisions.admission.test_dispatcher import (
@@ -130,3 +139,89 @@
         assert grant.target == 'good'
         dispatcher.record_result(grant.ticket, Result.ANSWERED, 0.1, now_s)
     assert MUTATIONS / 4 < unreadable < MUTATIONS
+
+
+CLOCKS_MS = [-3_600_000, -1, 1, 3_600_000]
+STARTED_MS = 1_700_000_000_000
+WISHES = [Backpressure(leaving=True), Backpressure(pause_s=500.0)]
+
+
+def started(started_ms):
+    return TargetIdentity(
+        name='t',
+        service='s',
+        started_ms=started_ms,
+        now_ms=STARTED_MS + 60_000,
+    )
+
+
+@pytest.mark.parametrize('wish', WISHES, ids=['leaves', 'pauses'])
+@pytest.mark.parametrize('clock_ms', CLOCKS_MS)
+def test_a_restart_on_a_slow_clock_is_not_withheld_by_an_entry(clock_ms, wish):
+    heard = HeardBackpressure()
+    heard.record_answer(started(STARTED_MS), wish, 0.0, 0.0)
+    now_s = NEWS_S + 1.0
+    assert heard.withheld('t', STARTED_MS, now_s) is not None
+    assert heard.withheld('t', STARTED_MS + clock_ms, now_s) is None
+
+
+@pytest.mark.parametrize('wish', WISHES, ids=['leaves', 'pauses'])
+@pytest.mark.parametrize('clock_ms', CLOCKS_MS)
+def test_a_restart_on_a_slow_clock_is_granted_by_a_home(clock_ms, wish):
+    heard = HeardBackpressure()
+    request = RequestFactory()
+    dispatcher = make_dispatcher('t', started_ms=STARTED_MS)
+    notice = heard.record_answer(started(STARTED_MS), wish, 0.0, 1.0)
+    dispatcher.pool.apply_notice(notice, 'e', 1.0)
+    assert not isinstance(dispatcher.request_slot(request(), 1.0), Grant)
+    restarted = target_spec('t', started_ms=STARTED_MS + clock_ms)
+    dispatcher.update_targets([restarted], 2.0)
+    assert isinstance(dispatcher.request_slot(request(), 2.0), Grant)
+
+
+@pytest.mark.parametrize('clock_ms', CLOCKS_MS)
+def test_a_home_that_hears_late_of_an_earlier_start_uses_the_new_one(clock_ms):
+    """Another home had granted the requests that were answered so."""
+    heard = HeardBackpressure()
+    request = RequestFactory()
+    heard.record_answer(started(STARTED_MS), WISHES[0], 0.0, 0.0)
+    dispatcher = make_dispatcher('t', started_ms=STARTED_MS + clock_ms)
+    for notice in heard.report_to('h', 1.0, 's'):
+        dispatcher.pool.apply_notice(notice, 'e', 1.0)
+    assert isinstance(dispatcher.request_slot(request(), 1.0), Grant)
+
+
+@pytest.mark.parametrize('clock_ms', CLOCKS_MS)
+def test_a_late_answer_of_an_earlier_start_does_not_free_a_new_one(clock_ms):
+    heard = HeardBackpressure()
+    dispatcher = make_dispatcher('t', started_ms=STARTED_MS + clock_ms)
+    for identity in (started(STARTED_MS + clock_ms), started(STARTED_MS)):
+        notice = heard.record_answer(identity, WISHES[0], 0.0, 0.0)
+        dispatcher.pool.apply_notice(notice, 'e', 0.0)
+    now_s = NEWS_S + 1.0
+    assert heard.withheld('t', STARTED_MS + clock_ms, now_s) is not None
+    reply = dispatcher.request_slot(RequestFactory()(), now_s)
+    assert not isinstance(reply, Grant)
+
+
+def test_an_entry_that_is_not_told_of_a_restart_yet_keeps_to_the_answer():
+    heard = HeardBackpressure()
+    heard.record_answer(started(STARTED_MS), WISHES[0], 0.0, 0.0)
+    started_ms = STARTED_MS + 59_000
+    assert heard.withheld('t', started_ms, NEWS_S - 0.1) is not None
+
+
+def test_a_target_of_another_address_is_not_known_to_have_answered():
+    heard = HeardBackpressure()
+    heard.record_answer(started(None), WISHES[0], 0.0, 0.0)
+    assert heard.withheld('t', STARTED_MS, NEWS_S - 0.1) is not None
+    assert heard.withheld('t', STARTED_MS, NEWS_S) is None
+    assert heard.report_to('h', 1.0, 's') == ()
+
+
+def test_starts_without_end_under_one_name_take_no_memory():
+    heard = HeardBackpressure()
+    for number in range(1000):
+        heard.record_answer(started(number), WISHES[0], 0.0, 0.0)
+    assert len(heard._by_target['t'].wishes) <= MAX_STARTS
+    assert heard.withheld('t', 999, NEWS_S) is not None
--- a/tests/gateway/test_backpressure.py
+++ b/tests/gateway/test_backpressure.py
@@ -1,12 +1,13 @@
 """Tests of targets that leave, or ask a node for a pause, in their answers."""
 
-from asyncio import gather, sleep
+from asyncio import Event, create_task, gather, sleep, start_server
 from time import monotonic
 
 import pytest
 
 from carawaylane.decisions.admission.refusals import PAUSE_RETRY_SPREAD
-from standins.raw_target import OK, PAUSED, Reply
+from carawaylane.decisions.targets.backpressure import NEWS_S
+from standins.raw_target import LEAVING_LINE, OK, PAUSED, Reply
 from tests.gateway.conftest import fetch
 from tests.gateway.test_cut_off_nodes import cut_off
 from tests.gateway.test_rate_limits import isolate_homes, start_nodes
@@ -325,3 +326,66 @@
     statuses = await send_load(nodes[:1], load_s=0.7)
     assert len(leaving.requests) == before
     assert set(statuses) == {200}
+
+
+@pytest.mark.parametrize('wish', ['leaves', 'pauses'])
+async def test_a_target_that_restarts_on_a_slow_clock_is_used_again(
+    fleet, wish
+):
+    nodes, target, _ = await start_service(fleet)
+    spec = fleet.store.objects['servers']['t1']['spec']
+    for number, born in enumerate((4_000_000_000_000, 1_000)):
+        fleet.store.put('servers', 't1', spec | {'born': born})
+        for node in nodes:
+            targets = node.find('directory').targets
+            await fleet.wait_until(
+                lambda t=targets, ms=born: t['t1'].started_ms == ms
+            )
+        before = len(target.requests)
+        await send_load(nodes, load_s=0.5)
+        if number:
+            await sleep(NEWS_S)
+            await send_load(nodes, load_s=0.5)
+        assert len(target.requests) > before
+        target.leaving = wish == 'leaves' and not number
+        target.pause_s = 500.0 if wish == 'pauses' and not number else None
+        await send_load(nodes, load_s=0.5)
+        target.leaving, target.pause_s = False, None
+
+
+async def test_late_answers_of_a_start_do_not_withhold_the_next_one(fleet):
+    """It registers under the same id elsewhere while the first one ends."""
+    late = Event()
+
+    async def serve_late(reader, writer):
+        data = await reader.readuntil(b'\r\n\r\n')
+        await late.wait()
+        request_id = next(
+            line.split(b': ')[1]
+            for line in data.split(b'\r\n')
+            if line.lower().startswith(b'request-id')
+        )
+        told = OK.replace(b'\r\n', LEAVING_LINE, 1)
+        writer.write(told.replace(b'@ID@', request_id))
+
+    server = await start_server(serve_late, '127.0.0.1', 0)
+    fleet.register_target('t1', server.sockets[0].getsockname()[1], slots=4)
+    [node] = await start_nodes(fleet, count=1)
+    targets = node.find('directory').targets
+    await fleet.wait_until(lambda: len(targets) == 1)
+    first = create_task(fetch(node, '/write/x', method='POST'))
+    in_flight = node.find('dispatchers').dispatchers
+    await fleet.wait_until(
+        lambda: any(home.pool.in_flight for home in in_flight.values())
+    )
+    await sleep(0.1)
+    new = await fleet.start_target('t1', slots=4)
+    spec = fleet.store.objects['servers']['t1']['spec']
+    fleet.store.put('servers', 't1', spec | {'born': 1_000})
+    await fleet.wait_until(lambda: targets['t1'].started_ms == 1_000)
+    late.set()
+    assert (await first).status == 200
+    response = await fetch(node, '/write/x', method='POST', request_id='r2')
+    assert response.status == 200
+    assert len(new.requests) == 1
+    server.close()
--- a/tests/gateway/test_target_paths.py
+++ b/tests/gateway/test_target_paths.py
@@ -11,6 +11,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from carawaylane.decisions.targets.backpressure import TargetIdentity
 from carawaylane.gateway.relays import NotRelayed
 from carawaylane.gateway.target_paths import TargetPathsService
 from carawaylane.kernel.kernel import Kernel
@@ -88,6 +89,9 @@
     def withheld(self, _target, _request_id):
         return None
 
+    def identify(self, target, _address):
+        return TargetIdentity(name=target)
+
     def record_result(self, *_args):
         pass
 
--- a/tests/rpc/test_fleet_codec.py
+++ b/tests/rpc/test_fleet_codec.py
@@ -37,6 +37,12 @@
         target='t', names_rate=False, pause_left_s=2.5, started_until_ms=2**41
     ),
     BackpressureNotice(target='t', names_rate=False, leaving=True),
+    *(
+        BackpressureNotice(
+            target='t', names_rate=False, leaving=True, started_ms=started_ms
+        )
+        for started_ms in (0, 2**41)
+    ),
 )
 
 
