Pass sound answers on whatever their size

A sound answer of 9 or 40 MB ended as 502 on safe routes and as 504 on unsafe ones, whose target had run the request; of 40 answers of 2 MB at once, some did. Only routes for large answers streamed; all other answers were kept whole, 8 MB each and 32 MB together, and what did not fit was treated as an answer without end.

An answer that states a length above 8 MB is now passed on as it is read, on every route and to HTTP/1.0 callers too, and one that finds no memory for large answers is passed on from there. Neither could have been kept for a repeat. A node without a limit of memory reads 1 MB ahead of a caller at most.

--- a/carawaylane/gateway/exchanges.py
+++ b/carawaylane/gateway/exchanges.py
@@ -15,7 +15,10 @@
 from aiohttp import StreamReader
 from attrs import define, evolve
 
-from carawaylane.decisions.admission.answer_memory import AnswerMemory
+from carawaylane.decisions.admission.answer_memory import (
+    MAX_ANSWER_BYTES,
+    AnswerMemory,
+)
 from carawaylane.gateway.streamed_answers import (
     ANSWER_ERRORS,
     READ_BYTES,
@@ -55,6 +58,9 @@
 # sixteenth of this many chunks.
 READ_BUFFER_BYTES = 16 << 10
 MIN_SERVER_ERROR_STATUS = 500
+# A longer answer takes a link of 1,000 Mbit/s over 8 s, and hardly arrives in
+# the time of a request: its length is taken for an error of the target.
+MAX_LENGTH_BYTES = 1 << 30
 ExchangeResult = CompleteAnswer | NeverSent | RefusedByTarget | BrokenExchange
 
 
@@ -284,16 +290,22 @@
     def _buffer_limit(
         self, message: Any, request: OutgoingRequest
     ) -> int | None:
-        """Return up to which size an answer is read whole, None if any."""
-        if (
-            not request.streams
-            or request.holding is None
-            or message.code >= MIN_SERVER_ERROR_STATUS
-            # Without either, a broken body may look complete.
-            or (not message.chunked and content_length(message) is None)
-        ):
+        """Return up to which size an answer is read whole.
+
+        What is beyond it is passed on as it is read. None if the answer is
+        cut off there, as it can't be passed on before it is complete.
+        """
+        if request.holding is None or message.code >= MIN_SERVER_ERROR_STATUS:
             return None
-        return request.holding.budget.buffer_limit()
+        length = content_length(message)
+        # Without either, a broken body may look complete.
+        if request.streams and (message.chunked or length is not None):
+            return request.holding.budget.buffer_limit()
+        if length is None or length > MAX_LENGTH_BYTES:
+            return None
+        if length > MAX_ANSWER_BYTES:
+            return request.holding.budget.buffer_limit()
+        return MAX_ANSWER_BYTES
 
     def _stream(
         self,
@@ -329,17 +341,16 @@
         kept = False
         try:
             async for chunk in payload.iter_chunked(READ_BYTES):
-                if not size.grow_to(protocol.body_bytes):
-                    return None
-                if holding is not None:
-                    if not holding.grow(len(chunk)):
-                        if buffer_limit is None:
-                            return None
-                        kept = True
-                        return _PartialBody(
-                            payload=payload, chunks=chunks, pending=chunk
-                        )
-                    held_bytes += len(chunk)
+                if not size.grow_to(protocol.body_bytes) or (
+                    holding is not None and not holding.grow(len(chunk))
+                ):
+                    if buffer_limit is None:
+                        return None
+                    kept = True
+                    return _PartialBody(
+                        payload=payload, chunks=chunks, pending=chunk
+                    )
+                held_bytes += len(chunk) if holding is not None else 0
                 add_piece(chunks, chunk)
                 if buffer_limit is not None and held_bytes > buffer_limit:
                     kept = True
--- a/carawaylane/gateway/streamed_answers.py
+++ b/carawaylane/gateway/streamed_answers.py
@@ -30,6 +30,8 @@
 # While no memory is left, the target is read again after this time. It cuts
 # off an answer that stays unread for seconds.
 MEMORY_RETRY_S = 0.02
+# What is read ahead of a caller if the memory budget has no limit.
+MAX_AHEAD_BYTES = 1 << 20
 # A chunk as large as all that has arrived may not fit into what a connection
 # may hold, which a stream would then wait for in vain.
 READ_BYTES = 16 << 10
@@ -138,10 +140,16 @@
             return await self._payload.read(READ_BYTES)
 
     async def _hold(self, size: int) -> None:
-        while not self._holding.grow(size):
+        while self._is_far_ahead() or not self._holding.grow(size):
             await sleep(MEMORY_RETRY_S)
         self._held_bytes += size
 
+    def _is_far_ahead(self) -> bool:
+        return (
+            self._held_bytes >= MAX_AHEAD_BYTES
+            and not self._holding.budget.is_limited
+        )
+
     def _give_back(self, size: int) -> None:
         size = min(size, self._held_bytes)
         self._held_bytes -= size
