Show unnamed entries no longer than they are known to exist

An entry without a readable name that vanished without an event stayed in `carawayctl status entries` and in the metrics until the node ended: after the store had dropped the history that had the deletion, and at a node that watches the store no more. Entries with a name are in the node's copy, which a whole list corrects; these are not.

The client of the store remembers under which names it has reported such entries and takes those for gone that a whole list does not have. A node that does not watch forgets them, as it would not learn of their end.

Before: the 3 new tests of tests/gateway/test_rejected_objects.py failed.

--- a/carawaylane/gateway/store_watch.py
+++ b/carawaylane/gateway/store_watch.py
@@ -184,6 +184,9 @@
             on_duty = not self.kernel.draining and self._is_duty_due()
             if on_duty != self._on_duty:
                 self._set_duty(on_duty)
+            if not on_duty and self._is_rank_known():
+                # This node would not learn of their end.
+                self.store.forget_unnamed()
             await sleep(WATCH_CHECK_PERIOD_S)
 
     def _set_duty(self, on_duty: bool) -> None:
--- a/carawaylane/platform/objects.py
+++ b/carawaylane/platform/objects.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from re import compile as compile_pattern
 from typing import TYPE_CHECKING, Any
 
@@ -37,7 +38,7 @@
 from carawaylane.storage.driver import Unavailable
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Generator
+    from collections.abc import Callable, Generator, Iterable
 
     OnRejected = Callable[[ObjectKind, InvalidObject, int], object]
     OnGone = Callable[[ObjectKind, str], object]
@@ -49,6 +50,8 @@
 # Bytes of all objects of a list, and what each object takes at least.
 MAX_LIST_BYTES = 32 << 20
 OBJECT_BYTES = 256
+# Objects without a usable name of which it is known that they were reported.
+MAX_UNNAMED = 1000
 # Time for the answer to a watch, added to the wait that the watch asks for.
 WATCH_MARGIN_S = 0.7
 CALL_ERRORS = (TimeoutError, ClientError, OSError, ValueError)
@@ -72,8 +75,9 @@
 
     `on_rejected` is called with the kind and the revision of an object that
     has no name under which it could be known, `on_gone` with the name that it
-    was reported under once it is removed. Others that can't be read are
-    passed on with their revision, and are rejected by the decoder of the kind.
+    was reported under once it is removed, or a list does not have it. Others
+    that can't be read are passed on with their revision, and are rejected by
+    the decoder of the kind.
     """
 
     def __init__(
@@ -86,6 +90,8 @@
         self._url = f'http://{address}'
         self._on_rejected = on_rejected
         self._on_gone = on_gone
+        # Names under which objects without a usable name were reported.
+        self._unnamed: dict[ObjectKind, set[str]] = defaultdict(set)
         self._session: ClientSession | None = None
         self._eras = EraReader()
 
@@ -95,7 +101,25 @@
             await self._session.close()
             self._session = None
 
+    def forget_unnamed(self, kinds: Iterable[ObjectKind] = ObjectKind) -> None:
+        """Take the objects without a usable name for gone."""
+        for kind in kinds:
+            for name in self._unnamed.pop(kind, ()):
+                self._on_gone(kind, name)
+
     async def list_all(self, kind: ObjectKind) -> ObjectDelta | Unavailable:
+        """Return all objects of a kind."""
+        known = self._unnamed.pop(kind, set())
+        result = await self._list_pages(kind)
+        listed = self._unnamed[kind]
+        if isinstance(result, Unavailable):
+            listed |= known
+        else:
+            for name in known - listed:
+                self._on_gone(kind, name)
+        return result
+
+    async def _list_pages(self, kind: ObjectKind) -> ObjectDelta | Unavailable:
         """Return all objects of a kind, which the store lists page by page."""
         items: list[StoredObject] = []
         after = ''
@@ -296,8 +320,11 @@
         except DECODE_ERRORS as exc:
             invalid = InvalidObject(name=f'{name!a}', reason=reason_of(exc))
             if is_gone:
+                self._unnamed[kind].discard(invalid.name)
                 self._on_gone(kind, invalid.name)
             else:
+                if len(self._unnamed[kind]) < MAX_UNNAMED:
+                    self._unnamed[kind].add(invalid.name)
                 self._on_rejected(kind, invalid, _own_revision(raw_item))
             return None
         try:
--- a/tests/gateway/test_rejected_objects.py
+++ b/tests/gateway/test_rejected_objects.py
@@ -338,3 +338,47 @@
     await fleet.wait_until(lambda: entries['n1']['spec'] == sound)
     await fleet.wait_until(lambda: 'n1' in node.find('directory').members)
     assert ended(node) is None
+
+
+async def start_beside_unnamed(fleet):
+    """Start a node beside two entries without a readable name."""
+    fleet.store.put('config', 'main', plan_spec())
+    for number in range(2):
+        fleet.store.put('servers', f'{SURROGATE}{number}', TARGET)
+    node = await fleet.start_node('n0', ready=False)
+    shown = node.find('directory').rejected.current
+    await fleet.wait_until(lambda: len(shown()) == 2)
+    return node, shown
+
+
+@pytest.mark.parametrize('is_sound', [True, False], ids=['whole', 'cut off'])
+async def test_an_unnamed_entry_that_vanishes_unseen_is_not_shown(
+    fleet, is_sound
+):
+    """The store may drop the history that has the deletion."""
+    _, shown = await start_beside_unnamed(fleet)
+    names = [f'{SURROGATE}{number}' for number in range(2)]
+    del fleet.store.objects['servers'][names[0]]
+    if not is_sound:
+        fleet.store.fault = 'busy'
+        fleet.store.wake_watches()
+        await sleep(0.5)
+        assert len(shown()) == 2
+        fleet.store.fault = ''
+    fleet.store.revision += 1
+    fleet.store.expire_history()
+    await fleet.wait_until(lambda: len(shown()) == 1)
+    assert shown()[0].name == f'{names[1]!a}'
+    # It is known still, so that its deletion is followed.
+    fleet.store.remove('servers', names[1])
+    await fleet.wait_until(lambda: not shown())
+
+
+async def test_a_node_that_watches_no_more_shows_no_unnamed_entries(fleet):
+    """It would not learn of their end."""
+    node, shown = await start_beside_unnamed(fleet)
+    fleet.store.put('servers', 'named', {'state': 'odd'})
+    await fleet.wait_until(lambda: len(shown()) == 3)
+    node.draining = True
+    await fleet.wait_until(lambda: len(shown()) == 1)
+    assert shown()[0].name == 'named'
