--- a/carawaylane/gateway/rejected_objects.py
+++ b/carawaylane/gateway/rejected_objects.py
@@ -8,7 +8,7 @@
 
 from carawaylane.kernel.kernel import Kernel
 from carawaylane.messages.platform_objects import InvalidObject
-from carawaylane.messages.stored_objects import ObjectKind
+from carawaylane.messages.stored_objects import ObjectKind, revision_in_era
 from carawaylane.telemetry.events import ENTRY_UNREADABLE, emit
 
 if TYPE_CHECKING:
@@ -85,7 +85,7 @@
             ENTRY_UNREADABLE,
             kind=kind.name,
             entry=name,
-            revision=revision,
+            revision=revision_in_era(revision),
             reason=invalid.reason,
         )
 
--- a/standins/store.py
+++ b/standins/store.py
@@ -84,7 +84,9 @@
     def app(self) -> web.Application:
         """Return the stand-in as a web application."""
         app = web.Application()
-        app.router.add_route('*', '/objects/{kind}{name:.*}', self._serve)
+        app.router.add_route(
+            '*', r'/objects/{kind}{name:[\s\S]*}', self._serve
+        )
         return app
 
     def _record(self, kind: str, item: dict[str, Any], deleted: bool) -> None:
@@ -105,15 +107,14 @@
         if self.fault == 'cut' and req.transport is not None:
             req.transport.abort()
         kind = req.match_info['kind']
-        name = req.match_info['name'].lstrip('/')
+        name = req.match_info['name'].removeprefix('/')
         if req.method == 'GET':
             if 'watch' in req.query:
                 return await self._watch(req, kind)
             self.calls['list'] += 1
             return self._list(req, kind)
         if req.method == 'DELETE':
-            removed = self.remove(kind, name)
-            return web.json_response({}, status=200 if removed else 404)
+            return self._delete(req, kind, name)
         item = await req.json()
         if req.method == 'POST':
             name = item['metadata']['name']
@@ -124,6 +125,16 @@
         self.put(kind, name, item['spec'])
         return web.json_response(self.objects[kind][name])
 
+    def _delete(self, req: web.Request, kind: str, name: str) -> web.Response:
+        """Remove an object, of the revision in the query if there is one."""
+        item = self.objects.get(kind, {}).get(name)
+        if item is not None:
+            revision = str(item['metadata']['revision'])
+            if req.query.get('revision', revision) != revision:
+                return web.json_response(item, status=409)
+        removed = self.remove(kind, name)
+        return web.json_response({}, status=200 if removed else 404)
+
     def _list(self, req: web.Request, kind: str) -> web.Response:
         items = self.objects.get(kind, {})
         names = [
--- a/tests/commands/test_gateways.py
+++ b/tests/commands/test_gateways.py
@@ -2,9 +2,12 @@
 
 from asyncio import to_thread
 from json import loads
+from urllib.parse import quote
 
 import pytest
+from aiohttp import ClientSession
 from typer.testing import CliRunner
+from yarl import URL
 
 from bench.ports import free_port
 from carawaylane.commands.cli import EXIT_UNAVAILABLE, app
@@ -80,3 +83,39 @@
             'revision': revision,
         }
     ]
+
+
+async def run_entries(address, *options):
+    return await to_thread(
+        CliRunner().invoke, app, ['status', 'entries', address, *options]
+    )
+
+
+async def delete(fleet, name, revision):
+    """Send the call of the operations page; return the status."""
+    url = (
+        f'http://{fleet.store_address}/objects/servers/'
+        f'{quote(name, safe="")}?revision={revision}'
+    )
+    async with (
+        ClientSession() as session,
+        session.delete(URL(url, encoded=True)) as resp,
+    ):
+        return resp.status
+
+
+@pytest.mark.parametrize('name', ['i-7', 'a/b c?', 'a\nb', '\u00e4', '%41'])
+async def test_a_rejected_entry_is_removed_as_the_page_says(fleet, name):
+    fleet.store.put('config', 'main', plan_spec())
+    node = await fleet.start_node('n1')
+    fleet.store.put('servers', name, {'state': 'asleep'})
+    shown = node.find('directory').rejected.current
+    await fleet.wait_until(shown)
+    address = f'127.0.0.1:{node.cfg.metrics_port}'
+    [row] = loads((await run_entries(address, '-o', 'json')).stdout)
+    assert await delete(fleet, name, row['revision'] - 1) == 409
+    assert await delete(fleet, name, row['revision']) == 200
+    await fleet.wait_until(lambda: not shown())
+    result = await run_entries(address)
+    assert (result.exit_code, result.stdout) == (0, '')
+    assert await delete(fleet, name, row['revision']) == 404
--- a/tests/gateway/test_rejected_objects.py
+++ b/tests/gateway/test_rejected_objects.py
@@ -178,6 +178,11 @@
     fleet.store.put('servers', 'odd', {})
     fleet.store.put('servers', SURROGATE, {})
     await fleet.wait_until(lambda: len(events) == 2)
+    # As the store numbers them, like those that commands show.
+    assert sorted(event['revision'] for event in events) == [
+        fleet.store.revision - 1,
+        fleet.store.revision,
+    ]
     for _ in range(2):
         fleet.store.expire_history()
         fleet.register_target('i-2', 1)
