Read what has arrived of an answer whose connection ends

A complete answer in chunks could end as broken: if what had arrived ended with the chunk at which aiohttp's limit of unread chunks is passed (1,025 at the gateway), its parser rested at the next piece of the answer, although the reader had caught up. If the target then sent the rest and closed, before a reader that waited for memory was back, the end lay unparsed in the parser, and its closing took the answer for cut off.

The rest is parsed as the connection ends in order, at once: the limit is lifted for it, since the parser would copy the rest for each chunk otherwise. An answer that is cut off is still broken at each cut, a reset still breaks it, and what is malformed or follows the answer is treated as before.

--- a/carawaylane/services/response_handler.py
+++ b/carawaylane/services/response_handler.py
@@ -162,8 +162,30 @@
         """Fail a body that is cut off by a reset, with or without a length."""
         if exc is not None:
             self._fail_body(exc)
+        else:
+            self._parse_rest()
         super().connection_lost(exc)
 
+    def _parse_rest(self) -> None:
+        """Parse what has arrived of a body, as nothing will resume it.
+
+        The parser of aiohttp rests once many chunks are unread, and may do so
+        again after they have been read.
+        """
+        payload = self._payload
+        if payload is None or payload.is_eof() or self._parser is None:
+            return
+        # It is in memory already, and is parsed at once.
+        payload._high_water = payload._high_water_chunks = MAX_BODY_BYTES
+        parsed_bytes = -1
+        while (
+            payload.total_bytes > parsed_bytes
+            and not payload.is_eof()
+            and not payload.exception()
+        ):
+            parsed_bytes = payload.total_bytes
+            super().data_received(b'')
+
     def set_exception(self, exc: BaseException, *args: Any) -> None:
         """Fail the body that is being received, too.
 
--- a/tests/services/test_response_handler.py
+++ b/tests/services/test_response_handler.py
@@ -333,3 +333,88 @@
     handler.data_received(ANSWER.replace(b': 2', b': ' + zeros + b'2'))
     assert (await read_final(handler))[1] == b'ok'
     assert handler.is_connected()
+
+
+# Beyond so many unread chunks, aiohttp asks for no more.
+UNREAD_CHUNKS = 16 * 64
+SMALL_BUFFER_BYTES = 16 * UNREAD_CHUNKS
+ONE_CHUNK = b'1\r\nx\r\n'
+
+
+@pytest.mark.parametrize('size', [1, 4, 100])
+@pytest.mark.parametrize('count', range(UNREAD_CHUNKS - 1, UNREAD_CHUNKS + 4))
+async def test_a_whole_answer_whose_connection_ends_is_whole_for_a_late_reader(
+    count, size
+):
+    """The parser rests at the limit of unread chunks, also once it is past."""
+    handler = connect(read_bufsize=SMALL_BUFFER_BYTES)
+    handler.data_received(CHUNKED.partition(b'2\r\n')[0])
+    _, payload = await handler.read()
+    chunk = b'%x\r\n' % size + b'x' * size + b'\r\n'
+    receive(handler, chunk * count, 8190)
+    left = count * size
+    while left:
+        left -= len(await payload.read(left))
+    handler.data_received(chunk * 3 + b'0\r\n\r\n')
+    handler.eof_received()
+    handler.connection_lost(None)
+    assert len(await payload.read()) == 3 * size
+
+
+@pytest.mark.parametrize('cut', range(1, 3 * len(ONE_CHUNK) + 5))
+@pytest.mark.parametrize('count', [UNREAD_CHUNKS, UNREAD_CHUNKS + 1])
+async def test_an_answer_that_is_cut_off_is_not_whole_for_a_late_reader(
+    count, cut
+):
+    handler = connect(read_bufsize=SMALL_BUFFER_BYTES)
+    handler.data_received(CHUNKED.partition(b'2\r\n')[0])
+    _, payload = await handler.read()
+    receive(handler, ONE_CHUNK * count, 8190)
+    assert len(await payload.read(count)) == count
+    handler.data_received((ONE_CHUNK * 3 + b'0\r\n\r\n')[:-cut])
+    handler.connection_lost(None)
+    with pytest.raises(ClientError):
+        await payload.read()
+
+
+@pytest.mark.parametrize('rest', [b'zz\r\n', b'0\r\n\r\n' + ANSWER])
+async def test_what_is_parsed_as_a_connection_ends_is_checked(rest):
+    handler = connect(read_bufsize=SMALL_BUFFER_BYTES)
+    handler.data_received(CHUNKED.partition(b'2\r\n')[0])
+    _, payload = await handler.read()
+    count = UNREAD_CHUNKS + 1
+    receive(handler, ONE_CHUNK * count, 8190)
+    assert len(await payload.read(count)) == count
+    handler.data_received(ONE_CHUNK + rest)
+    handler.connection_lost(None)
+    if rest.startswith(b'0'):
+        assert await payload.read() == b'x'
+    else:
+        with pytest.raises((ClientError, HttpProcessingError)):
+            await payload.read()
+    assert handler.should_close
+    assert not handler.is_connected()
+
+
+async def test_much_that_is_left_as_a_connection_ends_is_parsed_at_once():
+    """The parser would rest at each chunk, and copy the rest each time."""
+    handler = connect(read_bufsize=SMALL_BUFFER_BYTES)
+    handler.data_received(CHUNKED.partition(b'2\r\n')[0])
+    _, payload = await handler.read()
+    calls = []
+    parser = handler._parser
+
+    class CountingParser:
+        def feed_data(self, data):
+            calls.append(data)
+            return parser.feed_data(data)
+
+        def __getattr__(self, name):
+            return getattr(parser, name)
+
+    count = 100_000
+    handler.data_received(ONE_CHUNK * count + b'0\r\n\r\n')
+    handler._parser = CountingParser()
+    handler.connection_lost(None)
+    assert len(calls) < 5
+    assert len(await payload.read()) == count
