Let pipelined requests wait for memory until their turn

Requests that start before their turn share half of what a connection may hold. One that found no room got its final error, though it would have had room in its turn: those before it are sent by then.

A request that finds no memory before its turn now waits for its turn, with its body reserved first so that it is not lost. One that is read whole reads on as memory is given back, and counts as in turn from its turn on; its bytes leave the memory of large answers meanwhile, which others need.

--- a/carawaylane/gateway/caller_connection.py
+++ b/carawaylane/gateway/caller_connection.py
@@ -16,8 +16,9 @@
 from aiohttp.http import RawRequestMessage
 from aiohttp.web_protocol import RequestHandler
 from aiohttp.web_response import Response, StreamResponse
-from attrs import frozen
+from attrs import define
 
+from carawaylane.decisions.admission.memory_budget import Holding
 from carawaylane.gateway.caller_responses import CallerResponse
 
 if TYPE_CHECKING:
@@ -67,7 +68,7 @@
         """Return the request object of a parsed request."""
 
 
-@frozen(kw_only=True, eq=False, repr=False)
+@define(kw_only=True, eq=False, repr=False)
 class _StartedRequest:
     """A request that runs before its turn on the connection.
 
@@ -76,6 +77,8 @@
 
     message: RawRequestMessage
     task: Task[Response | None]
+    # None until the task has begun to run.
+    holding: Holding | None = None
 
 
 class CallerConnection(RequestHandler):
@@ -198,9 +201,18 @@
         self._current_is_safe = None if started is None else True
         if self._messages:
             self._start_requests()
+        if started is not None and started.holding is not None:
+            started.holding.in_turn = True
         self._current_task = None if started is None else started.task
         return self._current_task
 
+    def add_holding(self, req: BaseRequest, holding: Holding) -> None:
+        """Let what a request holds be in turn from its turn on."""
+        started = self._started.get(id(req._message))
+        holding.in_turn = started is None
+        if started is not None:
+            started.holding = holding
+
     def end(self) -> None:
         """End the turn of a request."""
         self._current = None
--- a/carawaylane/gateway/caller_requests.py
+++ b/carawaylane/gateway/caller_requests.py
@@ -239,17 +239,23 @@
     credential: Credential | None,
     holding: Holding | None,
 ) -> bool:
-    """Return whether there is memory for a request and its response."""
+    """Return whether there is memory for a request and its response.
+
+    That of a body which has arrived is held from now on, so that the body is
+    not lost if the request has to wait for its turn.
+    """
     if holding is None or not holding.budget.is_limited:
         return True
     size = req.content_length or 0
+    reserved = req.content.total_bytes if req.content.is_eof() else 0
     if route.large_answers:
         size += MIN_LARGE_RESPONSE_BYTES
+        reserved += MIN_LARGE_RESPONSE_BYTES
     if not holding.budget.admits(holding.connection, size):
         return False
     customer = credential.customer.name if credential is not None else ''
     return holding.budget.assign(holding, customer) and (
-        not route.large_answers or holding.reserve(MIN_LARGE_RESPONSE_BYTES)
+        not reserved or holding.reserve(reserved)
     )
 
 
--- a/carawaylane/gateway/callers.py
+++ b/carawaylane/gateway/callers.py
@@ -28,6 +28,7 @@
 )
 from carawaylane.gateway.caller_connection import CallerConnection
 from carawaylane.gateway.caller_requests import (
+    NO_MEMORY,
     STOPS_RESPONSE,
     ErrorResponse,
     RequestReader,
@@ -200,6 +201,7 @@
                 response = await task
             if response is None:
                 response = await self._answer(req)
+                assert response is not None
         except ConnectionError:
             raise
         except Exception as exc:
@@ -218,16 +220,18 @@
     async def answer_early(self, req: BaseRequest) -> Response | None:
         """Run a request before its turn and return its response.
 
-        None if a new configuration says that it must wait for its turn.
+        None if it must wait for its turn, as a new configuration says or
+        those before it hold the memory that it needs.
         """
         if not self._reader.is_safe(req.raw_path, req.headers):
             return None
-        return await self._answer(req, in_turn=False)
+        return await self._answer(req)
 
-    async def _answer(
-        self, req: BaseRequest, *, in_turn: bool = True
-    ) -> Response:
-        """Run one request, log and count it, and return its response."""
+    async def _answer(self, req: BaseRequest) -> Response | None:
+        """Run one request, log and count it, and return its response.
+
+        None if there is no memory for it before its turn.
+        """
         received_at_s = self.kernel.now_s()
         request_id = request_id_of(req.headers)
         # Recorded if this is cancelled because the caller has disconnected.
@@ -235,13 +239,17 @@
         reason = 'caller left'
         conn = cast('CallerConnection', req.protocol)
         holding = self._memory.open(conn)
-        holding.in_turn = in_turn
+        conn.add_holding(req, holding)
         response: CallerResponse | None = None
+        waits_for_turn = False
         progress = self._stopping.open()
         try:
             routed = await self._reader.read(
                 req, received_at_s, holding, progress
             )
+            if routed is NO_MEMORY and not holding.in_turn:
+                waits_for_turn = True
+                return None
             if isinstance(routed, ErrorResponse):
                 status, reason = routed.status, routed.reason
                 response = render_error(routed, holding)
@@ -264,9 +272,10 @@
             self._stopping.close(progress)
             if response is None:
                 holding.release()
-            self._record_request(
-                req, request_id, status, reason, received_at_s
-            )
+            if not waits_for_turn:
+                self._record_request(
+                    req, request_id, status, reason, received_at_s
+                )
 
     async def _forward_within_quota(self, routed: RoutedRequest) -> Outcome:
         """Forward a request unless its customer exceeds its quota."""
--- a/carawaylane/gateway/exchanges.py
+++ b/carawaylane/gateway/exchanges.py
@@ -18,6 +18,7 @@
 from carawaylane.decisions.admission.answer_memory import AnswerMemory
 from carawaylane.gateway.streamed_answers import (
     ANSWER_ERRORS,
+    MEMORY_RETRY_S,
     READ_BYTES,
     AnswerStream,
     add_piece,
@@ -331,13 +332,17 @@
                 if not size.grow_to(protocol.body_bytes):
                     return None
                 if holding is not None:
-                    if not holding.grow(len(chunk)):
-                        if buffer_limit is None:
+                    while not holding.grow(len(chunk)):
+                        if buffer_limit is not None:
+                            kept = True
+                            return _PartialBody(
+                                payload=payload, chunks=chunks, pending=chunk
+                            )
+                        if holding.in_turn:
                             return None
-                        kept = True
-                        return _PartialBody(
-                            payload=payload, chunks=chunks, pending=chunk
-                        )
+                        # Those before it on the connection give memory back.
+                        size.release()
+                        await sleep(MEMORY_RETRY_S)
                     held_bytes += len(chunk)
                 add_piece(chunks, chunk)
                 if buffer_limit is not None and held_bytes > buffer_limit:
--- a/tests/gateway/test_memory.py
+++ b/tests/gateway/test_memory.py
@@ -18,6 +18,7 @@
 from carawaylane.decisions.admission.memory_budget import (
     MIN_LARGE_RESPONSE_BYTES,
 )
+from carawaylane.gateway.streamed_answers import MEMORY_RETRY_S
 from standins.raw_target import Reply
 from tests.gateway.conftest import HOST, connect, fetch, plan_spec, route_spec
 from tests.gateway.test_daemon import (
@@ -192,6 +193,41 @@
     assert budget_of(node).used_bytes == 0
 
 
+@pytest.mark.parametrize(
+    ('path', 'body_bytes', 'answer_bytes'),
+    [
+        ('get', 0, LARGE_BYTES),
+        ('read', 0, 150_000),
+        ('read', 60_000, 150_000),
+    ],
+)
+async def test_requests_behind_a_slow_answer_wait_for_memory(
+    fleet, path, body_bytes, answer_bytes
+):
+    """Guards against errors for want of memory to requests out of turn."""
+    answer = HEAD + b'Content-Length: %d\r\n\r\n' % answer_bytes
+    reply = Reply(data=answer + LARGE_BODY[:answer_bytes])
+    target, node = await start(fleet, lambda n, _: reply)
+    reader, writer = await connect(node)
+    body = LARGE_BODY[:body_bytes]
+    request = get_request('1.1', f'Content-Length: {body_bytes}') + body
+    writer.write(request.replace(b'/get/', f'/{path}/'.encode()) * 8)
+    for _ in range(8):
+        head = await reader.readuntil(b'\r\n\r\n')
+        assert b' 200 ' in head
+        received = b''
+        while len(received) < answer_bytes:
+            # Long enough for those behind to take the memory that is free.
+            await sleep(2 * MEMORY_RETRY_S)
+            received += await reader.read(answer_bytes - len(received))
+        assert received == LARGE_BODY[:answer_bytes]
+    bodies = [data.partition(b'\r\n\r\n')[2] for data in target.requests]
+    assert bodies == [body] * 8
+    writer.close()
+    await fleet.wait_until(lambda: not budget_of(node).holdings)
+    assert budget_of(node).used_bytes == 0
+
+
 async def test_small_requests_are_served_while_memory_is_short(fleet):
     """Those that hold the memory leave, and large requests run again."""
     _, node = await start(fleet, large_reply)
