Quotas: let requests below the limit wait when a queue empties

A home lets no more than its capacity run at a moment, as its right may move and the next home admits the whole rate of the window. The parts of the slack add up to all of it, so the capacity can't grow: with 25 at once (capacity 24.05), 50 of the rate, 20.25 of advances and 2.7 for unreported waits a window could hold 97.95, and the bound is 97. What exceeded the capacity had its token, and room within 0.1 s, but was refused for good, and told to come back after 0 s, since the home looked at the bucket and not at the room of the window.

The home now says when there is room, and the entry asks again with the rule that holds while rights are lacking. Requests admitted in the last window are no longer those of up to two windows in that rule. The key is looked up again after the wait. Homes admit exactly what they admitted before.

--- a/carawaylane/decisions/customers/quota_bucket.py
+++ b/carawaylane/decisions/customers/quota_bucket.py
@@ -55,3 +55,8 @@
         self.admitted_before = self.admitted if follows else 0
         self.admitted = 0
         self.window = window
+
+    def admitted_lately(self, now_s: float, window_s: float) -> int:
+        """Return about how many requests the last window_s had admitted."""
+        left_share = 1 - now_s / window_s % 1
+        return self.admitted + round(left_share * self.admitted_before)
--- a/carawaylane/decisions/customers/quota_home.py
+++ b/carawaylane/decisions/customers/quota_home.py
@@ -17,6 +17,10 @@
     LentRight,
     OfferedAdvance,
 )
+from carawaylane.decisions.customers.quota_room import (
+    WHOLE_TOKEN,
+    lacking_tokens,
+)
 from carawaylane.decisions.customers.run_log import (
     STEP_S,
     ShareHistory,
@@ -56,8 +60,6 @@
 # pass over all customers.
 END_GRID_S = 0.05
 STAMP_STEP_S = 0.001
-# Sums of fractions may be a little less than a whole token.
-WHOLE_TOKEN = 1 - 1e-6
 # Callers that are refused are told to come back at intervals of the rate, up
 # to this time. They do not wait longer than a few seconds.
 MAX_RETRY_AFTER_S = 5.0
@@ -295,10 +297,11 @@
     def _admit(self, bucket: QuotaBucket) -> Admitted | OverQuota:
         self._settle(bucket)
         bucket.roll_window(self.now_s, self.bounds.window_s)
-        if bucket.level >= WHOLE_TOKEN and self._has_room(bucket):
+        lacking = max(WHOLE_TOKEN - bucket.level, self._lacking(bucket))
+        if lacking <= 0:
             bucket.level -= 1.0
         elif not self._spend_advance(bucket):
-            return self._refuse(bucket)
+            return self._refuse(bucket, lacking)
         bucket.admitted += 1
         bucket.runs.add(self.now_s)
         return Admitted()
@@ -315,8 +318,9 @@
             return Admitted()
         self._settle(bucket)
         bucket.check_runs_until_s = self.now_s + self.bounds.window_s + STEP_S
-        if not self._has_room(bucket) and not self._spend_advance(bucket):
-            return self._refuse(bucket)
+        lacking = self._lacking(bucket)
+        if lacking > 0 and not self._spend_advance(bucket):
+            return self._refuse(bucket, lacking)
         bucket.runs.add(self.now_s)
         return Admitted()
 
@@ -324,37 +328,21 @@
         if counted_at is not None and counted_at.run == self.run:
             bucket.runs.remove(counted_at.at_ms)
 
-    def _has_room(self, bucket: QuotaBucket) -> bool:
-        """Return whether one more request may run in this window.
-
-        From no time of the window on may more run than the capacity of that
-        time, what was filled in, and what was spent of advances. The whole
-        window alone is not enough: a right may move to another home.
-        """
-        if self.now_s >= bucket.check_runs_until_s:
-            return True
-        bucket.runs.expire(self.now_s)
-        capacity = self.bounds.capacity(bucket.limits)
-        times = [
-            (at_s, bucket.runs.since(at_s))
-            for at_s in self._history.starts(self.now_s)
-        ]
-        times += bucket.runs.backwards(self.now_s)
-        for at_s, ran in times:
-            share, fill = self._history.at(at_s)
-            allowed = (
-                share * capacity
-                + (self._fill - fill) * bucket.limits.rate_per_s
-                + bucket.advances.since(at_s - STEP_S)
-            )
-            if ran + WHOLE_TOKEN > allowed:
-                return False
-        return True
+    def _lacking(self, bucket: QuotaBucket) -> float:
+        """Return what must be filled in before one more request may run."""
+        return lacking_tokens(
+            bucket,
+            capacity=self.bounds.capacity(bucket.limits),
+            fill=self._fill,
+            history=self._history,
+            now_s=self.now_s,
+        )
 
-    def _refuse(self, bucket: QuotaBucket) -> OverQuota:
+    def _refuse(self, bucket: QuotaBucket, lacking: float) -> OverQuota:
+        bucket.roll_window(self.now_s, self.bounds.window_s)
         return OverQuota(
-            retry_after_s=self._retry_after(bucket),
-            admitted=bucket.admitted + bucket.admitted_before,
+            retry_after_s=self._retry_after(bucket, lacking),
+            admitted=bucket.admitted_lately(self.now_s, self.bounds.window_s),
             limit=self.bounds.limit(bucket.limits),
         )
 
@@ -377,7 +365,7 @@
             share * slack / max(1, len(self._members)) - bucket.advance_spent
         )
 
-    def _retry_after(self, bucket: QuotaBucket) -> float:
+    def _retry_after(self, bucket: QuotaBucket, lacking: float) -> float:
         """Return when a request would be admitted.
 
         Callers that are refused get different times, since only one of them
@@ -390,8 +378,7 @@
             share = max(1, len(self._loans)) / max(1, len(self._members))
             wait_s = min(LOAN_S, max(0.0, self._next_change_s - self.now_s))
         rate_per_s = bucket.limits.rate_per_s * share
-        missing = max(0.0, 1.0 - bucket.level)
-        ready_at_s = self.now_s + wait_s + missing / rate_per_s
+        ready_at_s = self.now_s + wait_s + lacking / rate_per_s
         bucket.promised_at_s = max(
             ready_at_s, bucket.promised_at_s + 1.0 / rate_per_s
         )
--- a/carawaylane/gateway/quotas.py
+++ b/carawaylane/gateway/quotas.py
@@ -24,6 +24,7 @@
 from carawaylane.kernel.service import Service, service
 from carawaylane.messages.quotas import (
     OVER_QUOTA_REASON,
+    Admitted,
     Leaving,
     Loan,
     OverQuota,
@@ -158,16 +159,36 @@
         admission: QuotaAdmission,
         customer: Customer,
         request_id: str,
+        objective_s: float,
         deadline_s: float,
     ) -> QuotaRefusal | None:
         """Count a request that waited when it is about to run.
 
-        Returns a refusal if it may not run now, else None. The bound is on
-        the requests that run in a window, whenever they were admitted.
+        Returns a refusal if it may not run, else None. The bound is on the
+        requests that run in a window, whenever they were admitted. If too many
+        are to run at once, those of a customer below its limit wait again.
         """
         now_s = self.kernel.now_s()
         if now_s - admission.checked_at_s <= UNREPORTED_WAIT_S:
             return None
+        wait = AdmissionWait(objective_s=objective_s, started_at_s=now_s)
+        while True:
+            verdict = await self._confirm_once(admission, customer, deadline_s)
+            if isinstance(verdict, Admitted):
+                self._metrics.count('quota_confirmed')
+                return None
+            pause_s = None
+            if verdict is not None:
+                pause_s = wait.next_ask_s(verdict, self.kernel.now_s())
+            if pause_s is None:
+                return self._refuse(customer.name, request_id, verdict)
+            self._metrics.count('quota_waited')
+            await sleep(pause_s)
+
+    async def _confirm_once(
+        self, admission: QuotaAdmission, customer: Customer, deadline_s: float
+    ) -> Admitted | OverQuota | None:
+        """Ask homes until one counts the request; None if none replies."""
         self._rights.follow_shards()
         token = admission.token
         shard = shard_of(customer.name, self._homes.shards)
@@ -182,13 +203,12 @@
         )
         admission.token = evolve(token, counted_at=None)
         if reply is None:
-            return self._refuse(customer.name, request_id, None)
+            return None
         if isinstance(reply.verdict, OverQuota):
-            return self._refuse(customer.name, request_id, reply.verdict)
-        self._metrics.count('quota_confirmed')
+            return reply.verdict
         admission.token = evolve(token, counted_at=reply.stamp)
         admission.checked_at_s = self.kernel.now_s()
-        return None
+        return Admitted()
 
     def report_waiting(self, admission: QuotaAdmission) -> None:
         """Tell the home that a request waits and does not run yet."""
--- a/carawaylane/gateway/slot_checks.py
+++ b/carawaylane/gateway/slot_checks.py
@@ -58,12 +58,16 @@
         self, state: ForwardState, slot: GrantedSlot
     ) -> GrantedSlot | Refusal:
         """Return the slot, or give it back and return a refusal."""
-        refusal: Refusal | None = Refusal(
+        withdrawn = Refusal(
             ticket=slot.grant.ticket, retry_after_s=0.0, reason=KEY_WITHDRAWN
         )
+        refusal: Refusal | None = withdrawn
         try:
             if not self._is_key_withdrawn(state):
                 refusal = await self._refusal_by_quota(state, slot)
+            if refusal is None and self._is_key_withdrawn(state):
+                # It may have waited for its quota.
+                refusal = withdrawn
             if refusal is None:
                 refusal = self.refuse_late(state, slot.grant.ticket)
         finally:
@@ -113,6 +117,7 @@
             state.admission,
             routed.credential.customer,
             routed.request.request_id,
+            routed.route.objective_s,
             routed.deadline_s,
         )
         if refused is None:
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -5,7 +5,7 @@
 
 from carawaylane.messages.quotas import Loan, QuotaAsk
 from standins.raw_target import Reply
-from tests.gateway.conftest import fetch, plan_spec
+from tests.gateway.conftest import fetch, plan_spec, route_spec
 
 WINDOW_S = 5.0
 
@@ -162,6 +162,42 @@
     assert response.status == 200
 
 
+async def test_a_queue_that_empties_at_once_refuses_nobody_below_the_limit(
+    fleet,
+):
+    """Guards against refusals for the moment at which slots become free."""
+    route = route_spec(
+        'read', '/read/', timeout_ms=10_000, target_latency_ms=5_000
+    )
+    tenants = [tenant('c', rate_per_s=20, burst=0), tenant('other')]
+    fleet.store.put(
+        'config', 'main', plan_spec(1, [route]) | {'tenants': tenants}
+    )
+    slots = 12
+    target = await fleet.start_target(
+        'i-1',
+        lambda _, data: Reply(delay_s=1.2 if b'/other' in data else 0.0),
+        slots=slots,
+    )
+    node = await fleet.start_node('n1')
+    await sleep(2.0)
+    others = [
+        create_task(
+            fetch(node, '/read/other', Authorization='Bearer other-key')
+        )
+        for _ in range(slots)
+    ]
+    await fleet.wait_until(lambda: len(target.requests) == slots)
+    load = Load('c', [node], 10)
+    await load.run(1.0)
+    await gather(*others)
+    assert set(load.statuses) == {200}
+    # The rate is kept, as a home that takes over doesn't know what ran.
+    free_at_s = target.arrival_times_s[0] + 1.2
+    ran = sum(at_s < free_at_s + 0.2 for at_s in target.arrival_times_s)
+    assert ran - slots <= 0.15 * (20 * WINDOW_S * 0.1 + 20) + 0.2 * 20 + 1
+
+
 async def test_a_request_that_no_target_runs_does_not_count(fleet):
     """Guards against a customer that is refused for what did not run."""
     fleet.store.put(
