--- a/carawaylane/gateway/exchanges.py
+++ b/carawaylane/gateway/exchanges.py
@@ -21,6 +21,7 @@
 )
 from carawaylane.gateway.streamed_answers import (
     ANSWER_ERRORS,
+    MEMORY_RETRY_S,
     READ_BYTES,
     AnswerStream,
     add_piece,
@@ -48,6 +49,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from carawaylane.decisions.admission.answer_memory import AnswerSize
     from carawaylane.decisions.admission.memory_budget import Holding
     from carawaylane.gateway.target_connections import Connection
     from carawaylane.kernel.kernel import Kernel
@@ -353,8 +355,14 @@
         kept = False
         try:
             async for chunk in payload.iter_chunked(READ_BYTES):
-                if not size.grow_to(protocol.body_bytes) or (
-                    holding is not None and not holding.grow(len(chunk))
+                if not size.grow_to(protocol.body_bytes) or not (
+                    holding is None
+                    or await _hold_piece(
+                        holding,
+                        len(chunk),
+                        size,
+                        may_wait=buffer_limit is None,
+                    )
                 ):
                     if buffer_limit is None:
                         return None
@@ -373,3 +381,19 @@
             if holding is not None and not kept:
                 holding.shrink(held_bytes)
         return b''.join(chunks)
+
+
+async def _hold_piece(
+    holding: Holding, length: int, size: AnswerSize, *, may_wait: bool
+) -> bool:
+    """Hold a piece of an answer; return False if there is no room for it.
+
+    Before its turn, a request may wait for memory of those before it on the
+    connection. Meanwhile its answer does not count towards all large ones.
+    """
+    while not holding.grow(length):
+        if holding.in_turn or not may_wait:
+            return False
+        size.release()
+        await sleep(MEMORY_RETRY_S)
+    return True
