--- a/carawaylane/decisions/placement/target_pool.py
+++ b/carawaylane/decisions/placement/target_pool.py
@@ -31,7 +31,7 @@
 from carawaylane.settings.gateway import Placement
 
 if TYPE_CHECKING:
-    from collections.abc import Container, Iterable
+    from collections.abc import Container, Iterable, Iterator
 
     from carawaylane.decisions.targets.rate_limits import SharedRateLimits
     from carawaylane.messages.dispatch import (
@@ -252,7 +252,7 @@
         for target in self.targets.values():
             if not target.is_open():
                 continue
-            stuck = self._count_stuck(target.in_flight, now_s)
+            stuck = len(list(self._stuck(target.in_flight, now_s)))
             if self.failure_risk(target, now_s) < USABLE_RISK:
                 slots += min(
                     max(0, target.spec.slots - stuck),
@@ -347,7 +347,7 @@
 
     def names_due_for_floor(self, now_s: float) -> set[str]:
         """Return the targets that are due while the usage floor is not met."""
-        stuck = self._count_stuck(self.in_flight, now_s)
+        stuck = len(list(self._stuck(self.in_flight, now_s)))
         risk_limit = self.floor.risk_limit(now_s, len(self.targets), stuck)
         if not risk_limit:
             return set()
@@ -372,14 +372,8 @@
 
         The entry may not reach them.
         """
-        limit_s = self._shortest_stuck_s()
-        stuck_at = set()
-        for granted in self._in_flight_by_entry.get(entry, {}).values():
-            if now_s - granted.granted_at_s <= limit_s:
-                break
-            if self.is_stuck(granted, now_s):
-                stuck_at.add(granted.target)
-        return stuck_at
+        in_flight = self._in_flight_by_entry.get(entry, {})
+        return {granted.target for granted in self._stuck(in_flight, now_s)}
 
     def _shortest_stuck_s(self) -> float:
         """Return the age below which no request is stuck."""
@@ -390,14 +384,13 @@
             default=0.0,
         )
 
-    def _count_stuck(
+    def _stuck(
         self, in_flight: dict[Ticket, InFlightRequest], now_s: float
-    ) -> int:
-        """Return how many requests are stuck; the oldest must come first."""
+    ) -> Iterator[InFlightRequest]:
+        """Yield the requests that are stuck; the oldest must come first."""
         limit_s = self._shortest_stuck_s()
-        count = 0
         for granted in in_flight.values():
             if now_s - granted.granted_at_s <= limit_s:
                 break
-            count += self.is_stuck(granted, now_s)
-        return count
+            if self.is_stuck(granted, now_s):
+                yield granted
