Send large bodies on while they are received, within one budget for all nodes

Callers that sent bodies within max_body_bytes took a node over its limit, and the process is killed there, with the requests of all others. The budget was in force only under the contract `pressure`, bodies were held whole three times over (pieces, joined, joined with the head), and where it was in force a body above a quarter of it was refused for good.

Now the budget is always a quarter of the node's own memory_mb. A body above 1 MB of a route that isn't idempotent, or one without room to be held, is sent on as it is received: 1 MB is reserved for it or it is refused at once with 503 and Retry-After, the sender is read as fast as the target takes the body, and all such bodies of a node take turns, a piece of 64 KB at a time, so that small requests wait for one piece. Its first 512 KB can go to further targets after a refusal; once more was taken it goes to none, so a refusal becomes a 503 that is true, and a body that breaks off or is too slow becomes 504. A connection whose target answered before the end of the body isn't used again. A body above max_body_bytes by its Content-Length gets its 413 before it is read. A caller that resets while it isn't read is noticed within 0.1 s.

The field limits_memory is gone; two tests lose the argument that set it.

--- a/bench/node_memory.py
+++ b/bench/node_memory.py
@@ -29,7 +29,6 @@
     subprocess,
     timeout,
 )
-from asyncio.subprocess import Process
 from collections import Counter
 from contextlib import suppress
 from itertools import count
@@ -383,7 +382,7 @@
     await gather(*tasks, return_exceptions=True)
 
 
-async def _watch(proc: Process) -> None:
+async def _watch(proc: subprocess.Process) -> None:
     """End a node that takes so much that this machine might lack it."""
     while _peak_mb(proc.pid) < MAX_NODE_MB:
         await sleep(WATCH_PERIOD_S)
--- a/carawaylane/decisions/admission/memory_budget.py
+++ b/carawaylane/decisions/admission/memory_budget.py
@@ -37,8 +37,12 @@
 MAX_BUFFERED_BYTES = 1 << 20
 # A large response may be buffered up to this share of what is free.
 BUFFERED_SHARE = 1 / 16
-# Limit of a node that is not to keep to its memory.
-NO_LIMIT_BYTES = 1 << 60
+# A longer body of a request is sent on while it is received, if no repeat may
+# need it or there is no room for all of it. It holds this much: its first
+# part, what has arrived behind it, and what waits to be written to the target.
+UPLOAD_BYTES = 1 << 20
+# The first part, which may be sent to further targets.
+MAX_FIRST_PART_BYTES = UPLOAD_BYTES // 2
 
 
 @define(kw_only=True, eq=False, repr=False)
@@ -122,11 +126,6 @@
     _by_connection: dict[int, int] = Factory(dict)
     _by_customer: dict[str, int] = Factory(dict)
 
-    @property
-    def is_limited(self) -> bool:
-        """Whether there is a limit at all."""
-        return self.limit_bytes < NO_LIMIT_BYTES
-
     def open(self, connection: int) -> Holding:
         """Return what a new request holds, nothing yet."""
         holding = Holding(budget=self, connection=connection)
@@ -144,6 +143,10 @@
             <= CONNECTION_SHARE * self.limit_bytes
         )
 
+    def holds_body(self, connection: int, size: int) -> bool:
+        """Return whether there is room to hold a body, and to join it."""
+        return size <= UPLOAD_BYTES or self.admits(connection, 2 * size)
+
     def admits_behind(self, waiting: int) -> bool:
         """Return whether one more request may run before its turn.
 
--- a/carawaylane/gateway/attempts.py
+++ b/carawaylane/gateway/attempts.py
@@ -131,7 +131,20 @@
         """Return whether the request may go to a further target."""
         time_left_s = self.routed.deadline_s - now_s
         limit = self.routed.route.max_targets
-        return self.targets_reached < limit and time_left_s > MIN_TIME_LEFT_S
+        return (
+            self.targets_reached < limit
+            and time_left_s > MIN_TIME_LEFT_S
+            and not self.routed.request.is_spent
+        )
+
+    @property
+    def may_hedge(self) -> bool:
+        """Whether a further target may run the request beside others."""
+        return (
+            self.routed.route.idempotent
+            and self.targets_reached < self.routed.route.max_targets
+            and self.routed.request.upload is None
+        )
 
     @property
     def may_have_run(self) -> bool:
--- a/carawaylane/gateway/caller_connection.py
+++ b/carawaylane/gateway/caller_connection.py
@@ -42,6 +42,9 @@
 # CLOSE, CLOSE-WAIT, LAST-ACK and CLOSING.
 TCP_CLOSED_STATES = frozenset({7, 8, 9, 11})
 FLUSH_POLL_S = 0.01
+# What aiohttp keeps of a body before it is read is up to twice as much, and
+# what the event loop reads at once.
+READ_BUFFER_BYTES = 32 << 10
 # Linux doubles it, and would let it grow to megabytes for each slow caller
 # otherwise. A caller 8 ms away still takes 4 MB/s.
 SEND_BUFFER_BYTES = 32 << 10
@@ -104,6 +107,7 @@
             max_field_size=limits.header_bytes,
             access_log=None,  # type: ignore[arg-type]
             auto_decompress=False,
+            read_bufsize=READ_BUFFER_BYTES,
         )
         self._runner = runner
         self._budget = memory.budget
@@ -132,7 +136,7 @@
     def connection_made(self, transport: BaseTransport) -> None:
         """Let a response count as sent when it has left the process."""
         super().connection_made(transport)
-        if self._budget.is_limited and self.transport is not None:
+        if self.transport is not None:
             self.transport.set_write_buffer_limits(high=0)
             sock = self.transport.get_extra_info('socket')
             sock.setsockopt(SOL_SOCKET, SO_SNDBUF, SEND_BUFFER_BYTES)
@@ -287,21 +291,31 @@
         if self.caller_has_left():
             raise ConnectionResetError('the caller has left')
 
+    def pause_reading(self) -> None:
+        """Pause while a body waits to be passed on."""
+        super().pause_reading()
+        self._start_left_poll()
+
     def _pause_reading_for_buffer(self) -> None:
         super()._pause_reading_for_buffer()
+        self._start_left_poll()
+
+    def _start_left_poll(self) -> None:
         if self._left_poll is None:
-            self._poll_if_left()
+            self._left_poll = self._loop.call_later(
+                LEFT_POLL_S, self._poll_if_left
+            )
 
     def _poll_if_left(self) -> None:
         self._left_poll = None
-        if not self._buffer_paused or self.transport is None:
+        if self.transport is None or not (
+            self._buffer_paused or self._reading_paused
+        ):
             return
         if self.caller_has_left():
             self.transport.abort()
             return
-        self._left_poll = self._loop.call_later(
-            LEFT_POLL_S, self._poll_if_left
-        )
+        self._start_left_poll()
 
     async def finish_response(
         self,
--- a/carawaylane/gateway/caller_requests.py
+++ b/carawaylane/gateway/caller_requests.py
@@ -10,15 +10,20 @@
 from aiohttp.http import HttpVersion11
 from aiohttp.web_exceptions import HTTPRequestEntityTooLarge
 from attrs import frozen
-from xxhash import xxh3_64_intdigest
+from xxhash import xxh3_64
 
-from carawaylane.decisions.admission.memory_budget import (
-    MIN_LARGE_RESPONSE_BYTES,
-)
 from carawaylane.decisions.routing.route_table import TrafficSplitter
 from carawaylane.gateway.attempts import NODE_STOPS, STOP_RETRY_AFTER_S
+from carawaylane.gateway.caller_bodies import (
+    has_room,
+    holds_body,
+    read_first_part,
+    read_held_body,
+    reserved_bytes,
+)
 from carawaylane.gateway.forwarding import RoutedRequest
 from carawaylane.gateway.stopping import Progress
+from carawaylane.gateway.uploads import Upload
 from carawaylane.messages.exchange import OutgoingRequest
 from carawaylane.platform.headers import (
     CUSTOMER_HEADERS,
@@ -76,6 +81,9 @@
 )
 
 
+TOO_LARGE = ErrorResponse(status=413, reason='the body is too large')
+
+
 class RequestReader:
     """Finds the route and the customer of a request and reads its body."""
 
@@ -83,6 +91,7 @@
         self._kernel = kernel
         self._directory = kernel.find('directory')
         self._stopping = kernel.find('stopping')
+        self._upload_turn = kernel.find('memory').upload_turn
         self._traffic_splitter = TrafficSplitter()
         # Set late in a drain, when a new request might not end in time.
         self.refuses_requests = False
@@ -122,11 +131,31 @@
         progress.deadline_s = received_at_s + time_left_s
         if not self._stopping.may_send(progress.deadline_s, route.objective_s):
             return STOPS_RESPONSE
-        if not _has_room(req, route, credential, holding):
+        if 0 < req._client_max_size < (req.content_length or 0):
+            return TOO_LARGE
+        size = req.content_length or 0
+        is_held = holds_body(holding, size, repeats=route.idempotent)
+        customer = credential.customer.name if credential is not None else ''
+        if holding is not None and not has_room(
+            holding,
+            customer,
+            size if is_held else 0,
+            reserved=reserved_bytes(route, is_held=is_held),
+        ):
             return NO_MEMORY
-        body = await self._read_body(req, time_left_s, holding)
+        body = await self._read_body(req, time_left_s, holding, is_held)
         if isinstance(body, ErrorResponse):
             return body
+        upload: Upload | None = None
+        first = body
+        if not is_held:
+            upload = Upload(
+                length=size,
+                first=first,
+                payload=req.content,
+                turn=self._upload_turn,
+            )
+            body = b''
         destination = self._traffic_splitter.choose(
             route, self._kernel.rng.random()
         )
@@ -141,11 +170,12 @@
                 holding=holding,
                 # A body of unknown length can't be sent to an older caller.
                 streams=route.large_answers and req.version >= HttpVersion11,
+                upload=upload,
             ),
             route=route,
             service=destination.service,
             deadline_s=progress.deadline_s,
-            digest=_request_digest(route, credential, req.method, path, body),
+            digest=_request_digest(route, credential, req, path, first),
             credential=credential,
             progress=progress,
         )
@@ -216,7 +246,9 @@
         req: BaseRequest,
         time_left_s: float,
         holding: Holding | None,
+        is_held: bool,
     ) -> bytes | ErrorResponse:
+        """Return the body, or its first part if not all of it is held."""
         if not req.can_read_body:
             return b''
         if _awaits_permission(req):
@@ -224,53 +256,18 @@
             req.transport.write(CONTINUE)
         try:
             async with timeout(time_left_s):
-                if holding is None or not holding.budget.is_limited:
+                if holding is None:
                     return await req.read()
-                return await _read_held_body(req, holding)
+                if not is_held:
+                    return await read_first_part(req)
+                body = await read_held_body(req, holding)
+                return NO_MEMORY if body is None else body
         except HTTPRequestEntityTooLarge:
-            return ErrorResponse(status=413, reason='the body is too large')
+            return TOO_LARGE
         except TimeoutError:
             return ErrorResponse(status=408, reason='the body came too slowly')
 
 
-def _has_room(
-    req: BaseRequest,
-    route: Route,
-    credential: Credential | None,
-    holding: Holding | None,
-) -> bool:
-    """Return whether there is memory for a request and its response."""
-    if holding is None or not holding.budget.is_limited:
-        return True
-    size = req.content_length or 0
-    if route.large_answers:
-        size += MIN_LARGE_RESPONSE_BYTES
-    if not holding.budget.admits(holding.connection, size):
-        return False
-    customer = credential.customer.name if credential is not None else ''
-    return holding.budget.assign(holding, customer) and (
-        not route.large_answers or holding.reserve(MIN_LARGE_RESPONSE_BYTES)
-    )
-
-
-async def _read_held_body(
-    req: BaseRequest, holding: Holding
-) -> bytes | ErrorResponse:
-    """Read a body as far as there is memory for it."""
-    chunks = []
-    size = 0
-    async for chunk in req.content.iter_any():
-        size += len(chunk)
-        if 0 < req._client_max_size < size:
-            raise HTTPRequestEntityTooLarge(
-                max_size=req._client_max_size, actual_size=size
-            )
-        if not holding.grow(len(chunk)):
-            return NO_MEMORY
-        chunks.append(chunk)
-    return b''.join(chunks)
-
-
 def _time_left_s(route: Route, headers: RequestHeaders) -> float:
     """Return the time until the caller or the route gives up."""
     if headers.time_left_s is None:
@@ -336,15 +333,18 @@
 def _request_digest(
     route: Route,
     credential: Credential | None,
-    method: str,
+    req: BaseRequest,
     path: str,
     body: bytes,
 ) -> int:
     """Return a hash that is the same for equal requests of a customer.
 
     It identifies requests that crash targets, so that they are quarantined.
+    Of a body that is not held, it has the first part.
     """
-    head = f'{route.name}\n{method}\n{path}\n'
+    head = f'{route.name}\n{req.method}\n{path}\n'
     if credential is not None:
         head += f'{credential.customer.name}\n'
-    return xxh3_64_intdigest(head.encode('utf-8', 'surrogateescape') + body)
+    digest = xxh3_64(head.encode('utf-8', 'surrogateescape'))
+    digest.update(body)
+    return digest.intdigest()
--- a/carawaylane/gateway/caller_responses.py
+++ b/carawaylane/gateway/caller_responses.py
@@ -121,8 +121,7 @@
 ) -> CallerResponse:
     body: bytes | HeldBody = outcome.body
     if holding is not None and (
-        outcome.stream is not None
-        or (holding.budget.is_limited and len(outcome.body) > PIECE_BYTES)
+        outcome.stream is not None or len(outcome.body) > PIECE_BYTES
     ):
         body = HeldBody(
             body=outcome.body, stream=outcome.stream, holding=holding
--- a/carawaylane/gateway/exchanges.py
+++ b/carawaylane/gateway/exchanges.py
@@ -27,8 +27,8 @@
     FOREIGN_ANSWER,
     check_answer,
     names_another,
-    request_head,
 )
+from carawaylane.gateway.uploads import writing
 from carawaylane.kernel.service import Service, service
 from carawaylane.kernel.timeouts import ReplyTimeout
 from carawaylane.platform.headers import answered_ids, is_refusal
@@ -55,6 +55,13 @@
 # sixteenth of this many chunks.
 READ_BUFFER_BYTES = 16 << 10
 MIN_SERVER_ERROR_STATUS = 500
+# These say nothing of the target.
+BROKEN_UPLOAD = BrokenExchange(
+    reason='the body broke off', mismatched=True, own_path=True
+)
+SLOW_UPLOAD = BrokenExchange(
+    reason='the body was too slow', mismatched=True, own_path=True
+)
 ExchangeResult = CompleteAnswer | NeverSent | RefusedByTarget | BrokenExchange
 
 
@@ -129,6 +136,8 @@
             )
             return result
         except TimeoutError:
+            if request.upload is not None and not request.upload.is_sent:
+                return SLOW_UPLOAD
             return BrokenExchange(reason='no answer in time', timed_out=True)
         finally:
             end = partial(self._end_exchange, address, conn)
@@ -209,29 +218,27 @@
         )
         conn.add_request(request)
         sent_at_s = get_running_loop().time()
-        conn.transport.write(
-            request_head(request, target, time_left_s) + request.body
-        )
         try:
-            message, payload = await conn.protocol.read()
-            while 100 <= message.code < 200:
+            with writing(conn, request, target, time_left_s):
                 message, payload = await conn.protocol.read()
-            if names_another(message, request):
-                return FOREIGN_ANSWER
-            body = await self._read_body(
-                conn.protocol,
-                payload,
-                request.holding,
-                self._buffer_limit(message, request),
-            )
+                while 100 <= message.code < 200:
+                    message, payload = await conn.protocol.read()
+                if names_another(message, request):
+                    return FOREIGN_ANSWER
+                body = await self._read_body(
+                    conn.protocol,
+                    payload,
+                    request.holding,
+                    self._buffer_limit(message, request),
+                )
         except ANSWER_ERRORS as exc:
-            return BrokenExchange(reason=type(exc).__name__)
+            return _broken(request, exc)
         finally:
             # It refers to the connection, which may be kept for long.
             conn.protocol.skip_answers(None)
         if body is None:
             return BrokenExchange(reason='the answer is too large')
-        if message.should_close or not answered_ids(message.headers):
+        if _must_close(message, request):
             conn.protocol.force_close()
         conn.limit_idle_time(message.headers.get('Keep-Alive', ''))
         if isinstance(body, bytes):
@@ -287,6 +294,7 @@
         if (
             not request.streams
             or request.holding is None
+            or request.upload is not None
             or message.code >= MIN_SERVER_ERROR_STATUS
             # Without either, a broken body may look complete.
             or (not message.chunked and content_length(message) is None)
@@ -349,3 +357,23 @@
             if holding is not None and not kept:
                 holding.shrink(held_bytes)
         return b''.join(chunks)
+
+
+def _broken(request: OutgoingRequest, exc: Exception) -> BrokenExchange:
+    """Return the result of an exchange whose connection has broken."""
+    if request.upload is not None and request.upload.is_broken:
+        return BROKEN_UPLOAD
+    return BrokenExchange(reason=type(exc).__name__)
+
+
+def _must_close(message: Any, request: OutgoingRequest) -> bool:
+    """Return whether a connection can't be used again after an answer.
+
+    A target that answered before it had the whole body would take the next
+    request for the rest.
+    """
+    return (
+        message.should_close
+        or not answered_ids(message.headers)
+        or (request.upload is not None and not request.upload.is_sent)
+    )
--- a/carawaylane/gateway/forwarding.py
+++ b/carawaylane/gateway/forwarding.py
@@ -183,7 +183,7 @@
             avoided_targets=frozenset(state.tried_targets),
             digest=routed.digest,
             request_id=routed.request.request_id,
-            request_bytes=len(routed.request.body),
+            request_bytes=routed.request.body_bytes,
             method=routed.request.method,
             path_shape=self.path_shapes.shape_of(
                 routed.route.name, routed.request.path
@@ -220,10 +220,7 @@
         self._slot_client.record_sent(slot, routed.request.request_id)
         state.targets_reached += 1
         state.hedge_at_s = float('inf')
-        if (
-            routed.route.idempotent
-            and state.targets_reached < routed.route.max_targets
-        ):
+        if state.may_hedge:
             state.hedge_at_s = now_s + grant.hedge_after_s
 
     async def _await_attempts(
@@ -291,10 +288,7 @@
         attempt.slot.home.report_result(
             attempt.slot.service, attempt.slot.grant.ticket, Result.UNUSED, 0.0
         )
-        if (
-            state.routed.route.idempotent
-            and state.targets_reached < state.routed.route.max_targets
-        ):
+        if state.may_hedge:
             state.hedge_at_s = self.kernel.now_s()
 
     def _end_attempt(
--- a/carawaylane/gateway/memory.py
+++ b/carawaylane/gateway/memory.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from asyncio import sleep
+from asyncio import Lock, sleep
 from itertools import count
 from typing import TYPE_CHECKING
 from weakref import WeakValueDictionary
 
 from carawaylane.decisions.admission.memory_budget import (
     BUDGET_SHARE,
-    NO_LIMIT_BYTES,
     Holding,
     MemoryBudget,
 )
@@ -30,23 +29,20 @@
 
     def __init__(self, *, kernel: Kernel) -> None:
         super().__init__(kernel=kernel)
-        cfg = kernel.cfg
-        self.is_limited = cfg.limits_memory
         self.budget = MemoryBudget(
-            limit_bytes=int(BUDGET_SHARE * cfg.memory_bytes)
-            if self.is_limited
-            else NO_LIMIT_BYTES
+            limit_bytes=int(BUDGET_SHARE * kernel.cfg.memory_bytes)
         )
+        # Taken by a large body for each part that it passes on.
+        self.upload_turn = Lock()
         self._connections: WeakValueDictionary[int, CallerConnection] = (
             WeakValueDictionary()
         )
         self._numbers = count(1)
 
     async def start(self) -> None:
-        """Start to look for slow readers, if the memory is limited."""
+        """Start to look for slow readers."""
         self._metrics = self.kernel.find('telemetry').metrics
-        if self.is_limited:
-            self.spawn(self._eviction_loop())
+        self.spawn(self._eviction_loop())
 
     def add_connection(self, conn: CallerConnection) -> int:
         """Return the number by which the budget knows a connection."""
--- a/carawaylane/gateway/target_messages.py
+++ b/carawaylane/gateway/target_messages.py
@@ -92,13 +92,13 @@
         f'{name}: {value}'
         for name, value in target_request_headers(time_left_s, target)
     ]
-    if request.body or request.method not in (
+    if request.body_bytes or request.method not in (
         'GET',
         'HEAD',
         'OPTIONS',
         'DELETE',
     ):
-        lines.append(f'Content-Length: {len(request.body)}')
+        lines.append(f'Content-Length: {request.body_bytes}')
     text = '\r\n'.join(lines) + '\r\n\r\n'
     return text.encode('utf-8', 'surrogateescape')
 
--- a/carawaylane/gateway/target_paths.py
+++ b/carawaylane/gateway/target_paths.py
@@ -147,6 +147,9 @@
         withheld = self._backpressure.withheld(target, request.request_id)
         if withheld is not None:
             return NeverSent(reason=withheld, withheld=True)
+        if request.upload is not None:
+            # A peer gets requests whole, and this one is not held whole.
+            return NeverSent(reason='too large for a peer', own_path=True)
         own_name = self.kernel.cfg.name
         tried: set[str] = set()
         for _ in range(MAX_RELAYS):
--- a/carawaylane/messages/exchange.py
+++ b/carawaylane/messages/exchange.py
@@ -2,12 +2,30 @@
 
 from __future__ import annotations
 
+from typing import Any, Protocol
+
 from attrs import field, frozen
 
 from carawaylane.decisions.admission.memory_budget import Holding
 from carawaylane.messages.outcomes import Headers, Outcome
 
 
+class UploadedBody(Protocol):
+    """A body that is sent on while it is received.
+
+    It `is_spent` as soon as it can't be sent to a further target, and
+    `is_broken` if its sender broke it off. `length` is in bytes.
+    """
+
+    length: int
+    is_spent: bool
+    is_sent: bool
+    is_broken: bool
+
+    async def send(self, conn: Any) -> None:
+        """Send the body on a connection to a target."""
+
+
 @frozen(kw_only=True, repr=False)
 class Request:
     """A caller's request as nodes forward it.
@@ -50,6 +68,20 @@
     holding: Holding | None = field(default=None, eq=False, repr=False)
     # Whether an answer is passed on before it is complete, if it is large.
     streams: bool = False
+    # The body, if it is sent on while it is received; `body` is empty then.
+    upload: UploadedBody | None = field(default=None, eq=False, repr=False)
+
+    @property
+    def body_bytes(self) -> int:
+        """Length of the body."""
+        if self.upload is not None:
+            return self.upload.length
+        return len(self.body)
+
+    @property
+    def is_spent(self) -> bool:
+        """Whether a part of the body is gone, so that no repeat has it."""
+        return self.upload is not None and self.upload.is_spent
 
 
 @frozen(kw_only=True, repr=False)
--- a/carawaylane/platform/boot.py
+++ b/carawaylane/platform/boot.py
@@ -31,9 +31,6 @@
 # Used if the limits of the machine do not name them.
 DEFAULT_MEMORY_MB = 256
 DEFAULT_LINK_MBPS = 100.0
-# The part of the platform's rules under which nodes and targets run out of
-# memory.
-MEMORY_CONTRACT = 'pressure'
 
 
 def boot_file_path(env: Mapping[str, str]) -> str | None:
@@ -119,7 +116,6 @@
         bounds=_parse_bounds(fields.get('bounds') or {}),
         memory_bytes=int(limits.get('memory_mb') or DEFAULT_MEMORY_MB) << 20,
         link_mbps=float(limits.get('link_mbps') or DEFAULT_LINK_MBPS),
-        limits_memory=MEMORY_CONTRACT in (fields.get('contracts') or ()),
     )
 
 
--- a/carawaylane/services/response_handler.py
+++ b/carawaylane/services/response_handler.py
@@ -129,6 +129,10 @@
         self.skipped_bytes += self._body_bytes_left
         self._is_skipping = True
 
+    async def drain(self) -> None:
+        """Wait until most of what was written has left; OSError if cut."""
+        await self._drain_helper()
+
     def data_received(self, data: bytes) -> None:
         """Parse received data as far as it belongs to an answer."""
         if not data:
--- a/carawaylane/settings/gateway.py
+++ b/carawaylane/settings/gateway.py
@@ -57,9 +57,8 @@
     """Validated settings of one gateway node.
 
     `cores` is the CPU share of the node, in cores of reference speed.
-    `limits_memory` says whether the node keeps to `memory_bytes` by
-    refusing work. `pipeline_depth` is how many requests of a caller's
-    connection run at a time.
+    The node keeps to `memory_bytes` by refusing work. `pipeline_depth` is how
+    many requests of a caller's connection run at a time.
     """
 
     name: str
@@ -75,7 +74,6 @@
     bounds: Bounds
     memory_bytes: int = 256 << 20
     link_mbps: float = 100.0
-    limits_memory: bool = False
     admission: Admission = Admission.AUTO
     placement: Placement = Placement.AUTO
     pipeline_depth: int = 16
--- a/tests/gateway/test_cut_answers.py
+++ b/tests/gateway/test_cut_answers.py
@@ -176,7 +176,7 @@
         fleet.register_target(f'i-{number}', port, slots=16)
     nodes = await gather(
         *(
-            fleet.start_node(f'n{n}', limits_memory=True, memory_bytes=8 << 20)
+            fleet.start_node(f'n{n}', memory_bytes=8 << 20)
             for n in range(NODES)
         )
     )
--- a/tests/gateway/test_memory.py
+++ b/tests/gateway/test_memory.py
@@ -58,7 +58,6 @@
     fleet.store.put('config', 'main', plan())
     target = await fleet.start_target('i-1', make_reply, slots=slots)
     settings = {
-        'limits_memory': True,
         'memory_bytes': SMALL_MEMORY_BYTES,
     } | settings
     return target, await fleet.start_node('n1', **settings)
