--- a/carawaylane/gateway/caller_connection.py
+++ b/carawaylane/gateway/caller_connection.py
@@ -10,7 +10,7 @@
 
 from asyncio import Task, create_task, get_running_loop, sleep
 from itertools import islice
-from socket import IPPROTO_TCP, SO_SNDBUF, SOL_SOCKET, TCP_INFO
+from socket import SO_SNDBUF, SOL_SOCKET
 from typing import TYPE_CHECKING, Any, Protocol
 
 from aiohttp.http import RawRequestMessage
@@ -20,7 +20,7 @@
 
 from carawaylane.decisions.admission.memory_budget import Holding
 from carawaylane.gateway.caller_responses import CallerResponse
-from carawaylane.kernel.sockets import is_sending
+from carawaylane.kernel.sockets import has_left, is_sending
 
 if TYPE_CHECKING:
     from asyncio import BaseTransport, TimerHandle
@@ -40,10 +40,10 @@
 # asyncio does not notice that a caller has left while reading is paused, so
 # the state of the socket is read at this interval then.
 LEFT_POLL_S = 0.1
-# States in tcp_info after the caller has closed or reset the connection:
-# CLOSE, CLOSE-WAIT, LAST-ACK and CLOSING.
-TCP_CLOSED_STATES = frozenset({7, 8, 9, 11})
 FLUSH_POLL_S = 0.01
+# What aiohttp keeps of a body before it is read is up to twice as much, and
+# what the event loop reads at once.
+READ_BUFFER_BYTES = 32 << 10
 # Linux doubles it, and would let it grow to megabytes for each slow caller
 # otherwise. A caller 8 ms away still takes 4 MB/s.
 SEND_BUFFER_BYTES = 32 << 10
@@ -108,6 +108,7 @@
             max_field_size=limits.header_bytes,
             access_log=None,  # type: ignore[arg-type]
             auto_decompress=False,
+            read_bufsize=READ_BUFFER_BYTES,
         )
         self._runner = runner
         self._budget = memory.budget
@@ -138,7 +139,7 @@
     def connection_made(self, transport: BaseTransport) -> None:
         """Let a response count as sent when it has left the process."""
         super().connection_made(transport)
-        if self._budget.is_limited and self.transport is not None:
+        if self.transport is not None:
             self.transport.set_write_buffer_limits(high=0)
             sock = self.transport.get_extra_info('socket')
             sock.setsockopt(SOL_SOCKET, SO_SNDBUF, SEND_BUFFER_BYTES)
@@ -282,19 +283,8 @@
         return self._current_is_safe and not current._message.should_close
 
     def caller_has_left(self) -> bool:
-        """Return whether the caller has closed the connection.
-
-        Data that it sent before may still be unread.
-        """
-        if self.transport is None or self.transport.is_closing():
-            return True
-        sock = self.transport.get_extra_info('socket')
-        try:
-            state = sock.getsockopt(IPPROTO_TCP, TCP_INFO, 1)[0]
-        except OSError:
-            # Not all kernels tell; asyncio notices it once reading goes on.
-            return False
-        return state in TCP_CLOSED_STATES
+        """Return whether the caller has left; its data may be unread."""
+        return self.transport is None or has_left(self.transport)
 
     async def wait_until_deliverable(self) -> None:
         """Wait until the responses before are sent, if there are any.
@@ -309,10 +299,20 @@
         if self.caller_has_left():
             raise ConnectionResetError('the caller has left')
 
+    def pause_reading(self) -> None:
+        """Pause while a body waits to be passed on."""
+        super().pause_reading()
+        self._start_left_poll()
+
     def _pause_reading_for_buffer(self) -> None:
         super()._pause_reading_for_buffer()
+        self._start_left_poll()
+
+    def _start_left_poll(self) -> None:
         if self._left_poll is None:
-            self._poll_if_left()
+            self._left_poll = self._loop.call_later(
+                LEFT_POLL_S, self._poll_if_left
+            )
 
     def _resume_reading_for_buffer(self) -> None:
         if not self._reads_no_more:
@@ -320,14 +320,14 @@
 
     def _poll_if_left(self) -> None:
         self._left_poll = None
-        if not self._buffer_paused or self.transport is None:
+        if self.transport is None or not (
+            self._buffer_paused or self._reading_paused
+        ):
             return
         if self.caller_has_left():
             self.transport.abort()
             return
-        self._left_poll = self._loop.call_later(
-            LEFT_POLL_S, self._poll_if_left
-        )
+        self._start_left_poll()
 
     async def finish_response(
         self,
--- a/carawaylane/kernel/sockets.py
+++ b/carawaylane/kernel/sockets.py
@@ -1,13 +1,15 @@
-"""Listening sockets that are opened early, and resets of connections."""
+"""Listening sockets that are opened early, and states of connections."""
 
 from __future__ import annotations
 
 from fcntl import ioctl
 from socket import (
     AI_PASSIVE,
+    IPPROTO_TCP,
     SO_LINGER,
     SOCK_STREAM,
     SOL_SOCKET,
+    TCP_INFO,
     getaddrinfo,
     socket,
 )
@@ -23,6 +25,9 @@
 LISTEN_BACKLOG = 1024
 # An integer of the kernel.
 NO_BYTES = bytes(4)
+# States in tcp_info after the other host has closed or reset the connection:
+# CLOSE, CLOSE-WAIT, LAST-ACK and CLOSING.
+TCP_CLOSED_STATES = frozenset({7, 8, 9, 11})
 
 
 def open_listener(address: str) -> socket:
@@ -62,3 +67,16 @@
         return ioctl(sock.fileno(), TIOCOUTQ, NO_BYTES) != NO_BYTES
     except OSError:
         return False
+
+
+def has_left(transport: Transport) -> bool:
+    """Return whether the other host has closed or reset the connection."""
+    if transport.is_closing():
+        return True
+    sock = transport.get_extra_info('socket')
+    try:
+        state: int = sock.getsockopt(IPPROTO_TCP, TCP_INFO, 1)[0]
+    except OSError:
+        # Not all kernels tell; asyncio notices it once reading goes on.
+        return False
+    return state in TCP_CLOSED_STATES
