--- a/tests/gateway/test_streamed_answers.py
+++ b/tests/gateway/test_streamed_answers.py
@@ -7,9 +7,10 @@
 import pytest
 from attrs import define
 
+from carawaylane.decisions.admission.answer_memory import AnswerMemory
 from carawaylane.decisions.admission.memory_budget import MemoryBudget
 from carawaylane.gateway import streamed_answers
-from carawaylane.gateway.exchanges import Exchanges
+from carawaylane.gateway.answer_bodies import read_answer_body
 from carawaylane.gateway.streamed_answers import (
     AnswerStream,
     BrokenAnswerError,
@@ -76,10 +77,10 @@
 
 
 async def test_small_pieces_of_a_buffered_answer_take_little_more(traced):
-    exchanges = Exchanges(kernel=None)
+    size = AnswerMemory().new_answer()
     before = held_bytes()
-    body = await exchanges._read_body(
-        FakeProtocol(), SmallPieces(), None, None
+    body = await read_answer_body(
+        FakeProtocol(), SmallPieces(), None, None, size
     )
     assert body == BODY
     assert tracemalloc.get_traced_memory()[1] - before < MAX_HELD_BYTES
