Test what a stopping daemon has read behind slow readers

Safe and unsafe requests that were read before the signal, behind answers that are read for 4 s or sent for 4 s: each gets its own answer, or a refusal and has not run. Behind answers that outlast the stop, they end with the connection, and the unsafe ones have not run.

--- a/tests/gateway/test_long_answers_in_stops.py
+++ b/tests/gateway/test_long_answers_in_stops.py
@@ -153,3 +153,47 @@
         assert answer.status == 200, caller.name
         assert answer.end, caller.name
     assert not any(name.startswith('next') for name in target.runs)
+
+
+@pytest.mark.parametrize('length_s', [4.0, 20.0])
+async def test_what_was_read_behind_a_slow_reader_is_answered_in_order(
+    fleet, tmp_path, length_s
+):
+    """The longer answers outlast the stop, and all behind them ends too."""
+    grace_s = 20 if length_s < 10 else 6
+    proc, target, address = await start_daemon_of(
+        fleet, tmp_path, grace_s=grace_s
+    )
+    pause_s = length_s / 10
+    callers = [
+        Caller(name='read', path='/get/0', pause_s=pause_s),
+        Caller(name='write', path='/get/0', pause_s=pause_s),
+        Caller(name='long', path=f'/get/{length_s}'),
+    ]
+    kinds = {'read': '/read/0', 'write': '/write/0', 'long': '/write/0'}
+    await gather(*(caller.connect(address) for caller in callers))
+    for caller in callers:
+        caller.queued = kinds[caller.name]
+        caller.send_queued()
+    while not all(target.runs[caller.name] for caller in callers):
+        await sleep(0.02)
+    await sleep(0.3)
+    log = create_task(proc.communicate())
+    proc.send_signal(SIGTERM)
+
+    async def receive_two(caller):
+        return await caller.receive(), await caller.receive()
+
+    received = await gather(*(receive_two(caller) for caller in callers))
+    await log
+    assert proc.returncode == 0
+    for caller, (first, second) in zip(callers, received, strict=True):
+        runs = target.runs[f'next-{caller.name}']
+        if length_s < 10:
+            assert first.body == BODY, caller.name
+            assert second.is_whole, caller.name
+            assert second.status == (200 if runs else 503)
+        else:
+            assert not first.is_whole, caller.name
+            assert second.status == 0
+        assert runs == (caller.name == 'read')
