Bench of memory: large requests in a process of their own

Their callers and targets shared a process with the small requests, so that its own work was part of the latencies.

--- a/bench/node_memory.py
+++ b/bench/node_memory.py
@@ -1,12 +1,14 @@
 """Measures what a node takes of its memory under large bodies and answers.
 
-It starts a node as a process on the loopback device, with the stand-in store
-and targets that run in this process. A case has callers that send bodies of
-60 MB (a node with 300 MB), or ask for eight answers of 540 KB at once and read
-them slowly (a node with 200 MB). Small requests are sent alone first and then
-beside them. Printed are the peak of the resident size, what became of the
-large requests, how many small ones were served, and their latencies. With
-`--code` another copy of the code is measured.
+It starts a node as a process on the loopback device, with the stand-in store.
+The callers and targets of large requests are another process, so that the
+latencies of the small ones are those of the node. A case has callers that send
+bodies of 60 MB one after the other (a node with 300 MB), or ask for eight
+answers of 540 KB at once and read them slowly (a node with 200 MB). Small
+requests are sent alone first and then beside them. Printed are the peak of the
+resident size, what became of the large requests (-1: under way at the end, 0:
+cut), how many small ones were served, and their latencies. With `--code`
+another copy of the code is measured.
 """
 
 from __future__ import annotations
@@ -32,7 +34,7 @@
 from collections import Counter
 from contextlib import suppress
 from itertools import count
-from json import dumps
+from json import dumps, loads
 from os import environ
 from pathlib import Path
 from socket import SO_RCVBUF, SOL_SOCKET, socket
@@ -157,18 +159,26 @@
     return {'version': 1, 'routes': routes, 'limits': {}}
 
 
-async def _start_store() -> tuple[Store, web.AppRunner, str]:
+async def _start_targets(count: int) -> list[int]:
+    """Start targets; return their ports."""
+    loop = get_running_loop()
+    servers = [
+        await loop.create_server(_Target, '127.0.0.1', 0) for _ in range(count)
+    ]
+    return [server.sockets[0].getsockname()[1] for server in servers]
+
+
+async def _start_store(
+    large_ports: list[int],
+) -> tuple[Store, web.AppRunner, str]:
     store = Store()
     runner = web.AppRunner(store.app(), shutdown_timeout=0.1)
     await runner.setup()
     await web.TCPSite(runner, '127.0.0.1', 0).start()
     store.put('config', 'main', _plan())
     # Small requests have targets of their own, as slow readers take slots.
-    for number in range(TARGETS + SMALL_TARGETS):
-        server = await get_running_loop().create_server(
-            _Target, '127.0.0.1', 0
-        )
-        port = server.sockets[0].getsockname()[1]
+    small_ports = await _start_targets(SMALL_TARGETS)
+    for number, port in enumerate([*large_ports, *small_ports]):
         store.put(
             'servers',
             f't{number}',
@@ -369,6 +379,35 @@
     return results
 
 
+async def _run_load(case: Case) -> None:
+    """Print the ports of targets, read the port of the node, and load it."""
+    print(dumps(await _start_targets(TARGETS)), flush=True)
+    port = await get_running_loop().run_in_executor(None, sys.stdin.readline)
+    results = await _send_large(case, int(port))
+    print(dumps(dict(results.statuses)), flush=True)
+
+
+async def _start_load(case: Case) -> tuple[subprocess.Process, list[int]]:
+    """Start the process of the large requests; return its targets' ports."""
+    proc = await create_subprocess_exec(
+        sys.executable,
+        '-m',
+        'bench.node_memory',
+        '--load',
+        str(CASES.index(case)),
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+    )
+    assert proc.stdout is not None
+    return proc, loads(await proc.stdout.readline())
+
+
+async def _await_load(proc: subprocess.Process, port: int) -> dict[int, int]:
+    """Have the large requests sent; return how many had which status."""
+    output, _ = await proc.communicate(f'{port}\n'.encode())
+    return {int(status): number for status, number in loads(output).items()}
+
+
 def _start_small(port: int, results: _Results) -> list[Task[None]]:
     return [
         create_task(_send_small(port, results))
@@ -396,7 +435,8 @@
 
 async def measure(case: Case, code: Path) -> str:
     """Return a line of figures for a case."""
-    _, runner, store_address = await _start_store()
+    load, large_ports = await _start_load(case)
+    _, runner, store_address = await _start_store(large_ports)
     settings = _settings(case, store_address)
     port = int(settings['listen']['front'].rpartition(':')[2])
     with TemporaryDirectory() as folder:
@@ -420,18 +460,18 @@
             beside = _Results()
             tasks = _start_small(port, beside)
             watch = create_task(_watch(proc))
-            large = await _send_large(case, port)
+            large = await _await_load(load, port)
             await _stop(tasks)
             peak_mb = MAX_NODE_MB if watch.done() else _peak_mb(proc.pid)
             watch.cancel()
         finally:
-            with suppress(ProcessLookupError):
-                proc.kill()
-            await proc.wait()
+            for child in (proc, load):
+                with suppress(ProcessLookupError):
+                    child.kill()
+                await child.wait()
             await runner.cleanup()
     outcomes = ', '.join(
-        f'{number} x {status}'
-        for status, number in sorted(large.statuses.items())
+        f'{number} x {status}' for status, number in sorted(large.items())
     )
     contract = ' with pressure' if case.pressure else ''
     return (
@@ -448,7 +488,11 @@
     parser.add_argument('--code', type=Path, default=Path.cwd())
     parser.add_argument('--case', choices=['bodies', 'answers'])
     parser.add_argument('--clients', type=int)
+    parser.add_argument('--load', type=int, help=argparse.SUPPRESS)
     args = parser.parse_args()
+    if args.load is not None:
+        run(_run_load(CASES[args.load]))
+        return
     for case in CASES:
         if args.case in (None, case.name) and (
             args.clients in (None, case.clients)
