Look for slow readers only while memory is short

Every node looked every 0.1 s since the budget is always in force. The budget now says when more is held than the share at which slow readers leave.

--- a/carawaylane/decisions/admission/memory_budget.py
+++ b/carawaylane/decisions/admission/memory_budget.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 from attrs import Factory, define
@@ -121,11 +122,18 @@
     """
 
     limit_bytes: int
+    # Called as more is held while slow readers may have to leave.
+    on_short: Callable[[], None] | None = None
     used_bytes: int = 0
     holdings: dict[int, Holding] = Factory(dict)
     _by_connection: dict[int, int] = Factory(dict)
     _by_customer: dict[str, int] = Factory(dict)
 
+    @property
+    def is_short(self) -> bool:
+        """Whether slow readers have to leave."""
+        return self.used_bytes >= EVICTION_SHARE * self.limit_bytes
+
     def open(self, connection: int) -> Holding:
         """Return what a new request holds, nothing yet."""
         holding = Holding(budget=self, connection=connection)
@@ -212,7 +220,7 @@
 
     def slow_readers(self, now_s: float) -> list[Holding]:
         """Return the readers to disconnect, the slowest first."""
-        if self.used_bytes < EVICTION_SHARE * self.limit_bytes:
+        if not self.is_short:
             return []
         slow = sorted(
             (
@@ -237,6 +245,8 @@
         self._count(self._by_connection, holding.connection, size)
         if holding.customer:
             self._count(self._by_customer, holding.customer, size)
+        if size > 0 and self.on_short is not None and self.is_short:
+            self.on_short()
 
     @staticmethod
     def _count(counts: dict[Any, int], key: int | str, size: int) -> None:
--- a/carawaylane/gateway/memory.py
+++ b/carawaylane/gateway/memory.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from asyncio import Lock, sleep
+from asyncio import Event, Lock, sleep
 from itertools import count
 from typing import TYPE_CHECKING
 from weakref import WeakValueDictionary
@@ -19,7 +19,7 @@
     from carawaylane.gateway.caller_connection import CallerConnection
     from carawaylane.kernel.kernel import Kernel
 
-# Interval at which slow readers are looked for.
+# Interval at which slow readers are looked for while memory is short.
 EVICTION_PERIOD_S = 0.1
 
 
@@ -29,8 +29,10 @@
 
     def __init__(self, *, kernel: Kernel) -> None:
         super().__init__(kernel=kernel)
+        self._short = Event()
         self.budget = MemoryBudget(
-            limit_bytes=int(BUDGET_SHARE * kernel.cfg.memory_bytes)
+            limit_bytes=int(BUDGET_SHARE * kernel.cfg.memory_bytes),
+            on_short=self._short.set,
         )
         # Taken by a large body for each part that it passes on.
         self.upload_turn = Lock()
@@ -56,10 +58,13 @@
 
     async def _eviction_loop(self) -> None:
         while True:
-            await sleep(EVICTION_PERIOD_S)
-            now_s = self.kernel.now_s()
-            for holding in self.budget.slow_readers(now_s):
-                self._close(holding, now_s)
+            await self._short.wait()
+            self._short.clear()
+            while self.budget.is_short:
+                now_s = self.kernel.now_s()
+                for holding in self.budget.slow_readers(now_s):
+                    self._close(holding, now_s)
+                await sleep(EVICTION_PERIOD_S)
 
     def _close(self, holding: Holding, now_s: float) -> None:
         conn = self._connections.get(holding.connection)
--- a/tests/decisions/admission/test_memory_budget.py
+++ b/tests/decisions/admission/test_memory_budget.py
@@ -159,3 +159,20 @@
     assert not budget.holdings
     assert not budget._by_connection
     assert not budget._by_customer
+
+
+def test_slow_readers_are_looked_for_only_while_memory_is_short():
+    calls = []
+    budget = MemoryBudget(
+        limit_bytes=1000, on_short=lambda: calls.append(budget.used_bytes)
+    )
+    holding = budget.open(1)
+    assert holding.grow(899)
+    assert not calls
+    assert not budget.is_short
+    assert holding.grow(1)
+    assert calls == [900]
+    assert budget.is_short
+    holding.release()
+    assert calls == [900]
+    assert not budget.is_short
