--- a/tests/gateway/simulated_fleet.py
+++ b/tests/gateway/simulated_fleet.py
@@ -152,6 +152,9 @@
             return Unavailable(reason='status 503')
         return None
 
+    def forget_unnamed(self):
+        """Do nothing: all objects of this store have names."""
+
     async def list_all(self, kind):
         failure = await self._call()
         items = tuple(self.store.objects[kind].values())
