Review: a home that was cut off grants targets that have left

Cause: entries send a request to the target that the home grants without a look at their own copy, and a home grants from a copy of any age.

--- a/review/harness_2/fleet.py
+++ b/review/harness_2/fleet.py
@@ -201,6 +201,12 @@
             name, 'review/harness_2/target.py', json.dumps(cfg)
         )
 
+    async def end_target(self, name: str) -> None:
+        """End an upstream that has left, and remove its entry."""
+        self.targets[name].kill()
+        await self.targets[name].wait()
+        await self.control(do='remove', kind='servers', name=name)
+
     def target_lines(self) -> list[dict[str, Any]]:
         """Return what all upstreams have written, by time."""
         lines = []
