Review: a store that is silent to the watchers delays a configuration

Cause: a watch of the store is given up after 2.7 s only, and until then the watcher's heartbeats keep others from taking over. The watches of all zones begin at the same moment after a change.

--- a/review/harness_2/fleet.py
+++ b/review/harness_2/fleet.py
@@ -97,6 +97,8 @@
         self.ready_address = f'127.0.0.1:{free_port()}'
         self.control = f'127.0.0.1:{free_port()}'
         self.internal_port = free_port()
+        # Where this node reaches the store; empty if directly.
+        self.store = ''
         self.proc: Process | None = None
         self.is_ready = False
         # Exit codes of ends that the script did not cause.
@@ -201,12 +203,6 @@
             name, 'review/harness_2/target.py', json.dumps(cfg)
         )
 
-    async def end_target(self, name: str) -> None:
-        """End an upstream that has left, and remove its entry."""
-        self.targets[name].kill()
-        await self.targets[name].wait()
-        await self.control(do='remove', kind='servers', name=name)
-
     def target_lines(self) -> list[dict[str, Any]]:
         """Return what all upstreams have written, by time."""
         lines = []
@@ -235,8 +231,15 @@
         self._procs.append(proc)
         return proc
 
-    async def start_nodes(self, count: int) -> None:
-        """Start the nodes together, and wait until all are ready."""
+    async def start_nodes(
+        self,
+        count: int,
+        prepare: Callable[[Node], Awaitable[None]] | None = None,
+    ) -> None:
+        """Start the nodes together, and wait until all are ready.
+
+        `prepare` is called for each node before the first one starts.
+        """
         self.nodes = [
             Node(
                 f'front-{ZONES[number % 3]}-{number // 3 + 1}',
@@ -244,6 +247,9 @@
             )
             for number in range(count)
         ]
+        for node in self.nodes:
+            if prepare is not None:
+                await prepare(node)
         for node in self.nodes:
             self.spawn(self.keep_running(node))
             self.spawn(self._watch_ready(node))
@@ -280,7 +286,7 @@
             'heartbeat_ms': 1500,
             'bounds': BOUNDS,
             'platform': {
-                'address': self.store,
+                'address': node.store or self.store,
                 'form': 'objects',
                 'writes_per_s': 400,
                 'reads_per_s': 2000,
@@ -315,18 +321,12 @@
         self._procs.append(proc)
         return proc
 
-    async def keep_running(
-        self,
-        node: Node,
-        on_start: Callable[[Node], Awaitable[None]] | None = None,
-    ) -> None:
+    async def keep_running(self, node: Node) -> None:
         """Start a node, and again whenever it ends."""
         while not self.ending:
             node.proc = await self.start_process(node)
             node.expected_end = False
             self.note(f'{node.name} is started')
-            if on_start is not None:
-                await on_start(node)
             code = await node.proc.wait()
             node.is_ready = False
             if self.ending:
