--- a/review/harness_2/fleet.py
+++ b/review/harness_2/fleet.py
@@ -18,6 +18,7 @@
 from asyncio.subprocess import DEVNULL, Process
 from contextlib import suppress
 from pathlib import Path
+from random import SystemRandom
 from time import monotonic
 from typing import TYPE_CHECKING, Any
 
@@ -31,6 +32,9 @@
 ZONES = ('heredia', 'escazu', 'cartago')
 RESTART_DELAY_S = 0.3
 HELD, BROKEN, CANNOT_RUN = 0, 1, 2
+PORTS = (15000, 32000)
+_used_ports: set[int] = set()
+_port_rng = SystemRandom()
 BOUNDS = {
     'seed_lag_s': 3,
     'reuse_delay_s': 2,
@@ -65,10 +69,19 @@
 
 
 def free_port() -> int:
-    """Return a port that was free just now."""
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return int(sock.getsockname()[1])
+    """Return a free port, each one once.
+
+    It lies below those that outgoing connections get, so that none takes it
+    before its process listens.
+    """
+    while True:
+        port = _port_rng.randrange(*PORTS)
+        if port in _used_ports:
+            continue
+        _used_ports.add(port)
+        with socket.socket() as sock, suppress(OSError):
+            sock.bind(('127.0.0.1', port))
+            return port
 
 
 def route(name: str, service: str, **changes: Any) -> dict[str, Any]:
