Review: a restored store brings targets back that have left

Cause: a copy takes the list of a new era as it is, and forgets the removals that it has seen; a target that has left but still serves gets requests until its entry expires.

--- a/review/harness_2/store.py
+++ b/review/harness_2/store.py
@@ -1,7 +1,8 @@
 """Stand-in of the platform's store, as a process of its own.
 
 It is the project's stand-in with a page `/control`, on which a script writes
-objects for the operator, or has the store taken away.
+objects for the operator, or has the store taken away. It can also come back
+from an older copy of its objects, under the next era.
 """
 
 from __future__ import annotations
@@ -16,6 +17,7 @@
 def main() -> None:
     """Serve on the port of the first argument."""
     store = Store()
+    copies = [store.copy()]
 
     async def control(req: web.Request) -> web.Response:
         order = await req.json()
@@ -23,6 +25,11 @@
             store.put(order['kind'], order['name'], order['spec'])
         elif order['do'] == 'remove':
             store.remove(order['kind'], order['name'])
+        elif order['do'] == 'copy':
+            copies.append(store.copy())
+        elif order['do'] == 'restore':
+            store.fault = ''
+            store.restore(copies[-1])
         elif order['do'] == 'fault':
             store.fault = order['fault']
             store.wake_watches()
--- a/review/harness_2/target.py
+++ b/review/harness_2/target.py
@@ -4,7 +4,8 @@
 with `Not-Executed` if all slots and the queue are taken, else 200 with the id
 of the request and a seal, after the work that the query of the path asks for
 (`ms`). It registers itself in the store and renews its entry. SIGUSR1 lets it
-report `draining`; it goes on serving.
+report `draining`, SIGUSR2 lets it write to the store no more; it goes on
+serving.
 
 At any time, some upstreams fail a portion of their requests for several
 seconds: with `weak_turn` = [n, m], it resets the connection of half of the
@@ -48,6 +49,7 @@
         self.present = 0
         self.state = 'ready'
         self.seq = 0
+        self.is_silent = False
         self.changed = asyncio.Event()
 
     def log(self, what: str, request_id: str = '', **more: object) -> None:
@@ -137,7 +139,7 @@
         url = f'http://{self.cfg["store"]}/objects/servers'
         timeout = ClientTimeout(total=1)
         async with ClientSession(timeout=timeout) as session:
-            while True:
+            while not self.is_silent:
                 self.seq += 1
                 state = self.state
                 self.changed.clear()
@@ -172,6 +174,11 @@
         turn, turns = self.cfg['weak_turn']
         return bool(int(monotonic() / WEAK_S) % turns == turn)
 
+    def fall_silent(self) -> None:
+        """Write nothing to the store any more."""
+        self.is_silent = True
+        self.changed.set()
+
     def start_draining(self) -> None:
         """Report that this upstream leaves."""
         self.state = 'draining'
@@ -183,10 +190,12 @@
     target = Target(json.loads(sys.argv[1]))
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGUSR1, target.start_draining)
+    loop.add_signal_handler(signal.SIGUSR2, target.fall_silent)
     host, _, port = target.cfg['address'].rpartition(':')
     server = await asyncio.start_server(target.serve, host, int(port))
     async with server:
         await target.register()
+        await server.serve_forever()
 
 
 if __name__ == '__main__':
