Review: scripts that are ended or fail exit with 2 and leave nothing

Cause: a script that was ended by a signal left its processes, and Python's code for an error, 1, is that of a broken rule.

Change: signals cancel the case, which ends its processes; an error, missing packages, nothing served or no watcher end with 2.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -24,6 +24,7 @@
     CannotRunError,
     Fleet,
     route,
+    run_case,
 )
 
 NODES = 3
@@ -155,4 +156,4 @@
 
 
 if __name__ == '__main__':
-    sys.exit(asyncio.run(main()))
+    run_case(main)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -26,6 +26,7 @@
     Fleet,
     Node,
     route,
+    run_case,
 )
 from proxy import StoreProxy  # noqa: E402
 
@@ -141,6 +142,8 @@
         began_s = fleet.now_s()
         # No more than a third of the machines.
         watchers = self.watchers()[: NODES // 3]
+        if not watchers:
+            raise CannotRunError('no node watches the configuration')
         await self.change()
         await asyncio.sleep(began_s + SILENT_AFTER_S - fleet.now_s())
         silent_at_s = fleet.now_s()
@@ -226,8 +229,15 @@
         except (CannotRunError, OSError) as exc:
             fleet.note(f'the case could not run: {exc!r}')
             return CANNOT_RUN
+        if not any(
+            this.status == 200
+            for client in play.clients
+            for this in client.tries
+        ):
+            fleet.note('the case could not run: nothing was served')
+            return CANNOT_RUN
         return judge(play)
 
 
 if __name__ == '__main__':
-    sys.exit(asyncio.run(main()))
+    run_case(main)
--- a/review/harness_2/fleet.py
+++ b/review/harness_2/fleet.py
@@ -19,13 +19,15 @@
 from contextlib import suppress
 from pathlib import Path
 from random import SystemRandom
+from signal import SIGINT, SIGTERM
 from time import monotonic
-from typing import TYPE_CHECKING, Any
+from traceback import print_exc
+from typing import TYPE_CHECKING, Any, NoReturn
 
 from aiohttp import ClientSession, ClientTimeout
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Coroutine
 
 ROOT = Path(__file__).resolve().parents[2]
 HOST = 'shop.example'
@@ -100,6 +102,19 @@
     }
 
 
+def run_case(main: Callable[[], Coroutine[Any, Any, int]]) -> NoReturn:
+    """Run a case and exit with its code, CANNOT_RUN if it ends otherwise.
+
+    Python's own code for an error is 1, which says that a rule was broken.
+    """
+    code = CANNOT_RUN
+    try:
+        code = asyncio.run(main())
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt):
+        print_exc()
+    sys.exit(code)
+
+
 class Node:
     """A node of the fleet and its process."""
 
@@ -372,6 +387,11 @@
             await asyncio.sleep(0.1)
 
     async def __aenter__(self) -> Fleet:
+        # So a script that is ended from outside ends its processes, too.
+        task = asyncio.current_task()
+        assert task is not None
+        for sig in (SIGINT, SIGTERM):
+            asyncio.get_running_loop().add_signal_handler(sig, task.cancel)
         self._session = ClientSession(timeout=ClientTimeout(total=1))
         return self
 
