A store that falls silent to the watchers delays no configuration

Cause: a watch waits for 2.0 s and is given up 0.7 s later; until then the watcher's heartbeats say that the store answers it, so no other node watches. A list that the store does not answer (1.5 s) was not announced at all.

Change: an answer that is 0.35 s late is announced at once, while the call goes on, so that a slow store is still used; lists count as well. The wait of a watch of the routes follows from the operators' bound less the steps after it (decisions/propagation/watch_duty.py): 0.65 s for 2 s. A page of an older revision than the watch names is no answer.

test_store_watch.py takes the wait of the routes from the bound; its assertions are the same.

--- a/carawaylane/decisions/propagation/watch_duty.py
+++ b/carawaylane/decisions/propagation/watch_duty.py
@@ -30,9 +30,30 @@
 OUTAGE_WATCHERS = 3
 OUTAGE_STEP_S = 1.0
 MOST_OUTAGE_WATCHERS = 12
+# A call that is answered this late is announced as not answered, so that other
+# nodes try; the call goes on. Slow stores answer in 0.2 s.
+LATE_ANSWER_S = 0.35
+# Time from that announcement until a node that ranks behind up to 15 others
+# has the answer to its own call, and from then until all nodes have it.
+TAKEOVER_S = 0.6
+SPREAD_S = 0.4
+# How long a watch waits at most, whatever the bound, and at least: more calls
+# would cost more than a change that is late beside a fault.
+MOST_WATCH_WAIT_S = 2.0
+LEAST_WATCH_WAIT_S = 0.5
 NEVER_S = float('-inf')
 
 
+def watch_wait_s(bound_s: float) -> float:
+    """Return how long a watch may wait so that changes are in force in time.
+
+    A store that falls silent as a watch begins is noticed once the watch has
+    waited and its answer is late.
+    """
+    wait_s = bound_s - LATE_ANSWER_S - TAKEOVER_S - SPREAD_S
+    return min(max(wait_s, LEAST_WATCH_WAIT_S), MOST_WATCH_WAIT_S)
+
+
 @define(kw_only=True, eq=False, repr=False)
 class WatchDuty:
     """Decides by the heartbeats of the watchers of the data centre.
--- a/carawaylane/gateway/registration.py
+++ b/carawaylane/gateway/registration.py
@@ -58,7 +58,7 @@
         name = self.kernel.cfg.name
         while True:
             result = await self._store.delete(ObjectKind.MEMBERS, name)
-            self._store_watch.log_store_state(result)
+            self._store_watch.contact.log_state(result)
             if not isinstance(result, Unavailable):
                 return
             await self._store_watch.delay_retry()
--- a/carawaylane/gateway/store_watch.py
+++ b/carawaylane/gateway/store_watch.py
@@ -13,7 +13,9 @@
     HEARTBEAT_PERIOD_S,
     OUTAGE_HEARTBEAT_PERIOD_S,
     OUTAGE_WATCHERS,
+    watch_wait_s,
 )
+from carawaylane.gateway.store_contact import StoreContact
 from carawaylane.kernel.service import Service, service
 from carawaylane.messages.stored_objects import (
     ObjectDelta,
@@ -25,9 +27,6 @@
 from carawaylane.telemetry.events import (
     HISTORY_EXPIRED,
     JOINED,
-    OUTAGE_ENDED,
-    PLATFORM_DOWN,
-    PLATFORM_UP,
     WATCH_DUTY,
     emit,
 )
@@ -37,9 +36,9 @@
 
 # The store answers a watch after this time even if nothing has changed. A
 # shorter time costs more calls; a longer one delays the detection of a lost
-# connection.
+# connection. That of the routes follows from the operators' bound, as their
+# watch tells whether the store answers this node.
 WATCH_WAIT_S = {
-    ObjectKind.PLAN: 2.0,
     ObjectKind.TARGETS: 2.0,
     ObjectKind.MEMBERS: 10.0,
 }
@@ -95,12 +94,16 @@
             on_rejected=rejected.add,
             on_gone=rejected.discard,
         )
-        self._store_is_up = True
+        self.contact = StoreContact(
+            kernel=kernel, on_announcement=self._announce
+        )
+        bound_s = cfg.bounds.config_propagation_s
+        self._watch_wait_s = {
+            ObjectKind.PLAN: watch_wait_s(bound_s),
+            **WATCH_WAIT_S,
+        }
         # Whether this node watches the store for its data centre.
         self._on_duty = False
-        # Kinds whose last call failed. The routes also count as one until
-        # their first call since this node went on duty.
-        self._unanswered: set[ObjectKind] = set()
         # What the last heartbeat said of the store; None if there was none
         # since this node went on duty.
         self._announced: bool | None = None
@@ -195,7 +198,7 @@
         age_s = min(replica.age_s(self.kernel.now_s()), 3600.0)
         emit(WATCH_DUTY, on=on_duty, rank=self._rank, age_s=round(age_s, 2))
         self._on_duty = on_duty
-        self._unanswered = {ObjectKind.PLAN}
+        self.contact.forget_answers()
         self._announced = None
         self._notify_watch_loops()
 
@@ -230,12 +233,9 @@
         So a store that is down gets few calls.
         """
         return self._on_duty and (
-            kind is ObjectKind.PLAN or self._store_answers()
+            kind is ObjectKind.PLAN or self.contact.is_answered()
         )
 
-    def _store_answers(self) -> bool:
-        return ObjectKind.PLAN not in self._unanswered
-
     async def delay_retry(self, delay_s: float = RETRY_DELAY_S) -> None:
         """Wait for a random time, so that not all nodes retry at once."""
         await sleep(delay_s * (1 + self.kernel.rng.random()))
@@ -259,8 +259,7 @@
         )
 
     async def _list_objects(self, kind: ObjectKind) -> None:
-        result = await self.store.list_all(kind)
-        self._record_contact(result)
+        result = await self.contact.wait_for(kind, self.store.list_all(kind))
         if isinstance(result, Unavailable):
             await self.delay_retry()
             return
@@ -269,14 +268,13 @@
     async def _watch_objects(self, kind: ObjectKind) -> None:
         """Wait for changes, or ask for them if the last call has failed."""
         revision = self._directory.replicas[kind].revision
-        has_failed = kind in self._unanswered
-        result = await self.store.watch(
+        has_failed = not self.contact.is_answered(kind)
+        wait_s = 0.0 if has_failed else self._watch_wait_s[kind]
+        result = await self.contact.wait_for(
             kind,
-            revision=revision,
-            wait_s=0.0 if has_failed else WATCH_WAIT_S[kind],
+            self.store.watch(kind, revision=revision, wait_s=wait_s),
+            wait_s,
         )
-        self._record_contact(result)
-        self._record_answer(kind, result)
         match result:
             case ObjectDelta():
                 self._apply_delta(kind, result)
@@ -292,29 +290,15 @@
             case Unavailable() if has_failed:
                 await self.delay_retry(self._watch_retry_delay_s())
 
-    def _record_contact(self, result: object) -> None:
-        """Record whether the store has answered this node."""
-        self.log_store_state(result)
-        now_s = self.kernel.now_s()
-        outages = self._directory.outages
-        silent_s = now_s - outages.answered_at_s
-        if isinstance(result, Unavailable):
-            outages.record_failure(self.kernel.cfg.name, now_s)
-        elif outages.record_answer(now_s):
-            emit(OUTAGE_ENDED, silent_s=round(silent_s, 2))
-
-    def _record_answer(self, kind: ObjectKind, result: object) -> None:
-        if isinstance(result, Unavailable):
-            self._unanswered.add(kind)
-        else:
-            self._unanswered.discard(kind)
-        if self._on_duty and self._store_answers() != self._announced:
+    def _announce(self) -> None:
+        """Send a heartbeat if it would say something else of the store."""
+        if self._on_duty and self.contact.is_answered() != self._announced:
             self._notify_watch_loops()
             # Nodes that rank below need not take over, or have to.
             self._send_heartbeat()
 
     def _send_heartbeat(self) -> None:
-        self._announced = self._store_answers()
+        self._announced = self.contact.is_answered()
         self._heartbeat_at_s = self.kernel.now_s()
         self._object_sync.broadcast_heartbeat(self._announced)
 
@@ -364,17 +348,6 @@
         )
         return evolve(delta, items=items)
 
-    def log_store_state(self, result: object) -> None:
-        """Log if the store became unavailable or available again."""
-        is_up = not isinstance(result, Unavailable)
-        if is_up == self._store_is_up:
-            return
-        self._store_is_up = is_up
-        if isinstance(result, Unavailable):
-            emit(PLATFORM_DOWN, reason=result.reason)
-        else:
-            emit(PLATFORM_UP)
-
     async def _heartbeat_loop(self) -> None:
         while True:
             await sleep(HEARTBEAT_PERIOD_S)
@@ -386,6 +359,6 @@
             # The first heartbeat follows the first answer, or the lack of it.
             return False
         elapsed_s = self.kernel.now_s() - self._heartbeat_at_s
-        return self._store_answers() or (
+        return self.contact.is_answered() or (
             elapsed_s > OUTAGE_HEARTBEAT_PERIOD_S - HEARTBEAT_PERIOD_S
         )
--- a/carawaylane/platform/objects.py
+++ b/carawaylane/platform/objects.py
@@ -54,6 +54,8 @@
 MAX_UNNAMED = 1000
 # Time for the answer to a watch, added to the wait that the watch asks for.
 WATCH_MARGIN_S = 0.7
+# Why a page of a watch that names an older revision than the watch is none.
+OLDER_PAGE = 'a page of an older revision'
 CALL_ERRORS = (TimeoutError, ClientError, OSError, ValueError)
 # Sorts after the surrogates, which no request can carry.
 AFTER_SURROGATES = '\ue000'
@@ -167,7 +169,8 @@
         """Return the changes after a revision; wait for them if needed.
 
         The delta is empty if there are none within `wait_s`. A revision of
-        another era of the store has expired.
+        another era of the store has expired. A page that is older than the
+        revision comes from a copy that lags, and would hide later changes.
         """
         params = {
             'watch': str(revision_in_era(revision)),
@@ -189,6 +192,8 @@
         try:
             page = await run_in_steps(_decode(kind, body))
             page_revision = combine(era, _revision(page['current_rev']))
+            if page_revision < revision:
+                return Unavailable(reason=OLDER_PAGE)
             events = _require_list(page['events'])
             return ObjectDelta(
                 items=await run_in_steps(
--- a/tests/gateway/simulated_fleet.py
+++ b/tests/gateway/simulated_fleet.py
@@ -24,7 +24,14 @@
     StoredObject,
 )
 from carawaylane.platform.documents import encode_json
-from carawaylane.platform.objects import WATCH_MARGIN_S, HistoryExpired
+from carawaylane.platform.objects import (
+    CALL_TIMEOUT_S as STORE_TIMEOUT_S,
+)
+from carawaylane.platform.objects import (
+    OLDER_PAGE,
+    WATCH_MARGIN_S,
+    HistoryExpired,
+)
 from carawaylane.rpc.fleet_pb2 import SyncReply, SyncRequest
 from carawaylane.settings.gateway import Bounds, GatewaySettings
 from carawaylane.storage.driver import Unavailable
@@ -84,7 +91,11 @@
 
 
 class SimulatedStore:
-    """The store; `refused` nodes and all while it is `down` get no answer."""
+    """The store; `refused` nodes and all while it is `down` get no answer.
+
+    It is silent to the `silent` nodes, also on watches that wait, and answers
+    others `delays_s` later. `lagging` nodes get pages of the past.
+    """
 
     def __init__(self):
         self.revision = 1
@@ -92,6 +103,10 @@
         self.history = []
         self.expired_revision = 0
         self.refused = set()
+        self.silent = set()
+        self.delays_s = {}
+        # The last revision that is shown to a node.
+        self.lagging = {}
         self.is_down = False
         self.calls = 0
         # How often the configuration was sent.
@@ -123,6 +138,10 @@
         """Cut the watches; later ones from older revisions fail."""
         self.history.clear()
         self.expired_revision = self.revision
+        self.cut_watches()
+
+    def cut_watches(self):
+        """Let the watches that wait fail."""
         self.cut.set()
         self.cut = Event()
         self.changed.set()
@@ -145,13 +164,30 @@
         if self.fleet.links:
             await sleep(link_time_s(self.node, size))
 
-    async def _call(self):
+    async def _call(self, timeout_s=STORE_TIMEOUT_S):
         self.store.calls += 1
-        await sleep(STORE_LATENCY_S)
+        if self._is_silent():
+            return await self._time_out(timeout_s)
+        delay_s = STORE_LATENCY_S + self.store.delays_s.get(self.name, 0.0)
+        if delay_s > timeout_s:
+            return await self._time_out(timeout_s)
+        await sleep(delay_s)
+        if self._is_silent():
+            return await self._time_out(timeout_s - delay_s)
         if self.store.is_down or self.name in self.store.refused:
             return Unavailable(reason='status 503')
         return None
 
+    def _is_silent(self):
+        return self.name in self.store.silent
+
+    async def _time_out(self, timeout_s):
+        await sleep(max(timeout_s, 0.0))
+        return Unavailable(reason='TimeoutError')
+
+    def _shown_revision(self):
+        return self.store.lagging.get(self.name, self.store.revision)
+
     def forget_unnamed(self):
         """Do nothing: all objects of this store have names."""
 
@@ -164,33 +200,34 @@
         return failure or delta
 
     async def watch(self, kind, *, revision, wait_s):
-        failure = await self._call()
+        started_at_s = asyncio.get_running_loop().time()
+        due_s = started_at_s + wait_s
+        failure = await self._call(wait_s + WATCH_MARGIN_S)
         if failure is not None:
             return failure
         if revision < self.store.expired_revision:
             return HistoryExpired()
-        started_at_s = asyncio.get_running_loop().time()
-        due_s = started_at_s + wait_s
         cut = self.store.cut
         while True:
-            if started_at_s < self.store.silenced_at_s:
-                timeout_s = due_s + WATCH_MARGIN_S
-                await sleep(timeout_s - asyncio.get_running_loop().time())
-                return Unavailable(reason='TimeoutError')
+            left_s = due_s - asyncio.get_running_loop().time()
+            if started_at_s < self.store.silenced_at_s or self._is_silent():
+                return await self._time_out(left_s + WATCH_MARGIN_S)
             if cut.is_set():
                 return Unavailable(reason='ServerDisconnectedError')
             items = {
                 item.name: item
                 for changed_kind, item in self.store.history
-                if changed_kind is kind and item.revision > revision
+                if changed_kind is kind
+                and revision < item.revision <= self._shown_revision()
             }
-            left_s = due_s - asyncio.get_running_loop().time()
             if items or left_s <= MIN_WAIT_S:
                 delta = ObjectDelta(
                     items=tuple(items.values()),
-                    revision=self.store.revision,
+                    revision=self._shown_revision(),
                     base=revision,
                 )
+                if delta.revision < revision:
+                    return Unavailable(reason=OLDER_PAGE)
                 await self._receive(delta.items)
                 return delta
             try:
@@ -325,6 +362,7 @@
     links: tuple[float, ...] = ()
     # Bytes that entered a data centre from another one.
     remote_bytes: int = 0
+    bounds: Bounds = Factory(Bounds)
     # Names of nodes of a build without packed objects.
     older: set[str] = Factory(set)
 
@@ -373,7 +411,7 @@
             store_address='10.1.0.1:1',
             cores=self.rng.choice((0.5, 1.0, 2.0)),
             max_fds=1000,
-            bounds=Bounds(),
+            bounds=self.bounds,
             link_mbps=self.rng.choice(self.links) if self.links else 100.0,
         )
         kernel = SimulatedKernel(cfg=cfg, rng=Random(self.rng.random()))
--- a/tests/gateway/test_store_watch.py
+++ b/tests/gateway/test_store_watch.py
@@ -11,16 +11,21 @@
     WATCH_SEED,
     rank_members,
 )
-from carawaylane.decisions.propagation.watch_duty import SILENCE_S
+from carawaylane.decisions.propagation.watch_duty import (
+    SILENCE_S,
+    watch_wait_s,
+)
 from carawaylane.gateway import links, store_watch
 from carawaylane.gateway.store_watch import (
     WATCH_PAUSE_S,
     WATCH_WAIT_S,
 )
 from carawaylane.messages.stored_objects import ObjectKind
+from carawaylane.settings.gateway import Bounds
 from tests.gateway.conftest import READY_TIMEOUT_S, plan_spec
 
 CHANGE_COUNT, CHANGE_INTERVAL_S = 60, 0.01
+PLAN_WAIT_S = watch_wait_s(Bounds().config_propagation_s)
 
 
 def register_member(fleet, number):
@@ -63,7 +68,8 @@
     took_s = node.now_s() - started_at_s
     most_broadcasts = 2 + took_s / WATCH_PAUSE_S[kind]
     # Watches without a change end after a while, too.
-    idle_calls = sum(1 + took_s / wait_s for wait_s in WATCH_WAIT_S.values())
+    waits_s = [PLAN_WAIT_S, *WATCH_WAIT_S.values()]
+    idle_calls = sum(1 + took_s / wait_s for wait_s in waits_s)
     assert len(broadcasts) <= most_broadcasts
     assert (
         fleet.store.calls['GET'] - calls_before <= most_broadcasts + idle_calls
@@ -236,6 +242,4 @@
     await fleet.wait_until(lambda: watch._on_duty)
     # Any node may watch once it has heard no other for so long.
     replica = node.find('directory').replicas[ObjectKind.PLAN]
-    assert replica.age_s(node.now_s()) < WATCH_WAIT_S[ObjectKind.PLAN] + (
-        SILENCE_S
-    )
+    assert replica.age_s(node.now_s()) < PLAN_WAIT_S + SILENCE_S
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -7,7 +7,11 @@
 
 from carawaylane.messages.stored_objects import ObjectKind
 from carawaylane.platform.eras import combine
-from carawaylane.platform.objects import MAX_LIST_BYTES, ObjectStoreClient
+from carawaylane.platform.objects import (
+    MAX_LIST_BYTES,
+    OLDER_PAGE,
+    ObjectStoreClient,
+)
 from carawaylane.storage.answers import MAX_ANSWER_BYTES
 from carawaylane.storage.driver import Unavailable
 from standins.raw_target import RawTarget, Reply
@@ -46,6 +50,35 @@
     server.close()
 
 
+@pytest.mark.parametrize(
+    ('page_revision', 'is_none'), [(4, True), (5, False), (6, False)]
+)
+async def test_a_page_of_an_older_revision_is_no_answer(
+    page_revision, is_none
+):
+    """It comes from a copy that lags, which may lack later changes."""
+    body = dumps({'events': [], 'current_rev': page_revision}).encode()
+    head = (
+        'HTTP/1.1 200 OK\r\nStore-Era: 1\r\n'
+        f'Content-Length: {len(body)}\r\n\r\n'
+    )
+    answer = Reply(data=head.encode() + body)
+    target = RawTarget(plan=lambda *_: answer)
+    server = await start_server(target.serve, '127.0.0.1', 0)
+    client = ObjectStoreClient(
+        address=f'127.0.0.1:{server.sockets[0].getsockname()[1]}'
+    )
+    result = await client.watch(
+        ObjectKind.TARGETS, revision=combine(1, 5), wait_s=0.1
+    )
+    if is_none:
+        assert result == Unavailable(reason=OLDER_PAGE)
+    else:
+        assert result.revision == combine(1, page_revision)
+    await client.close()
+    server.close()
+
+
 HEAD = b'HTTP/1.1 200 OK\r\nStore-Era: 1\r\n'
 CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
 ENDLESS = {
