An answer whose status HTTP does not have is none

Cause: statuses were compared with 100, as far as aiohttp sends them on, and those of peers with 0 only.

Change: a final status is one of 200 to 599 (`FINAL_STATUSES`). The handler of connections to targets, which both request paths share, fails others before a body is read, so buffered and streamed answers are the same; messages of peers are checked as they are unpacked. A safe request goes on to another target, an unsafe one ends as unknown (502 or 504), which is true, as it may have run.

--- a/carawaylane/gateway/target_paths.py
+++ b/carawaylane/gateway/target_paths.py
@@ -15,6 +15,7 @@
 from carawaylane.gateway.exchanges import always
 from carawaylane.gateway.relays import NotRelayed
 from carawaylane.kernel.service import Service, service
+from carawaylane.messages.outcomes import FINAL_STATUSES
 from carawaylane.platform.headers import PROMISE_STATUSES, lacks_seal
 from carawaylane.rpc.fleet_pb2 import ReachReply, ReachRequest, RelayReply
 from carawaylane.rpc.relay_codec import (
@@ -374,7 +375,7 @@
     # A node with an older build checks neither what the status promises nor
     # whether a success is sealed.
     if isinstance(result, CompleteAnswer) and (
-        not result.status
+        result.status not in FINAL_STATUSES
         or result.status in PROMISE_STATUSES
         or lacks_seal(result.status, result.headers)
     ):
--- a/carawaylane/messages/outcomes.py
+++ b/carawaylane/messages/outcomes.py
@@ -8,6 +8,10 @@
 
 Headers = tuple[tuple[str, str], ...]
 
+# Statuses of HTTP that end an exchange (RFC 9110, 15); others say nothing of
+# the request.
+FINAL_STATUSES = range(200, 600)
+
 
 @frozen(kw_only=True, repr=False)
 class InvalidNumber:
--- a/carawaylane/rpc/codec.py
+++ b/carawaylane/rpc/codec.py
@@ -8,6 +8,7 @@
 from carawaylane.decisions.ownership.ledger import KeyState, Record
 from carawaylane.messages.exchange import AnswerChunk, Head, Request
 from carawaylane.messages.outcomes import (
+    FINAL_STATUSES,
     Answered,
     Failed,
     Headers,
@@ -116,9 +117,14 @@
 
 
 def unpack_chunk(msg: ForwardChunk) -> AnswerChunk:
-    """Return the chunk of an answer in a protobuf message."""
+    """Return the chunk of an answer in a protobuf message.
+
+    Raises `ValueError` if the status of the answer is none of HTTP.
+    """
     head = None
     if msg.HasField('head'):
+        if msg.head.status not in FINAL_STATUSES:
+            raise ValueError(f'status {msg.head.status} is no answer')
         head = Head(
             status=msg.head.status,
             headers=unpack_headers(msg.head.headers),
@@ -154,7 +160,7 @@
 def unpack_record(msg: RecordPb) -> tuple[ShardId, Record]:
     """Return the shard and the key's record in a protobuf message."""
     answer = None
-    if msg.status:
+    if msg.status in FINAL_STATUSES:
         answer = Answered(
             status=msg.status,
             headers=unpack_headers(msg.headers),
@@ -210,7 +216,7 @@
             return NotRun(
                 reason=msg.reason,
                 retry_after_ms=msg.retry_after_ms,
-                status=msg.status,
+                status=msg.status if msg.status in FINAL_STATUSES else 503,
                 refused_ms=msg.refused_ms,
             )
         case End.MOVED:
--- a/carawaylane/services/response_handler.py
+++ b/carawaylane/services/response_handler.py
@@ -14,6 +14,8 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.helpers import EMPTY_BODY_STATUS_CODES
 
+from carawaylane.messages.outcomes import FINAL_STATUSES
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -26,7 +28,6 @@
 # Answers to other requests before an answer, and the bytes of their bodies.
 MAX_SKIPPED_ANSWERS = 16
 MAX_SKIPPED_BYTES = 128 << 10
-MIN_STATUS = 100
 # A value of a header holds none of these; a tab is allowed (RFC 9110, 5.5).
 _CONTROL_CHARACTER = re_compile(rb'[\x00-\x08\x0a-\x1f\x7f]')
 SWITCHING_PROTOCOLS = 101
@@ -301,8 +302,8 @@
 
 
 def _can_be_sent_on(message: Any) -> bool:
-    """Return whether aiohttp accepts the status and headers to send them."""
-    return message.code >= MIN_STATUS and not any(
+    """Return whether the status and the headers are ones of HTTP."""
+    return message.code in FINAL_STATUSES and not any(
         _CONTROL_CHARACTER.search(value) for _, value in message.raw_headers
     )
 
--- a/tests/rpc/test_codec.py
+++ b/tests/rpc/test_codec.py
@@ -36,6 +36,35 @@
     assert unpack_chunk(pack_chunk(chunk, 2)) == chunk
 
 
+ODD_STATUSES = [-1, 0, 99, 100, 199, 600, 2**31 - 1]
+
+
+@pytest.mark.parametrize('status', ODD_STATUSES)
+def test_a_chunk_with_a_status_that_http_does_not_have_is_malformed(status):
+    """The caller got it, from a home with an older build."""
+    chunk = AnswerChunk(head=Head(status=status), data=b'x')
+    with pytest.raises(ValueError, match='is no answer'):
+        unpack_chunk(pack_chunk(chunk, 0))
+
+
+@pytest.mark.parametrize('status', ODD_STATUSES)
+def test_a_refusal_has_a_status_of_http(status):
+    chunk = AnswerChunk(outcome=NotRun(reason='r', status=status))
+    assert unpack_chunk(pack_chunk(chunk, 0)).outcome.status == 503
+
+
+@pytest.mark.parametrize('status', ODD_STATUSES)
+def test_a_record_holds_no_answer_with_another_status(status):
+    record = Record(
+        key='k',
+        state=next(iter(KeyState)),
+        at_ms=1,
+        answer=Answered(status=status),
+    )
+    unpacked = unpack_record(pack_record(('s', 1), record))[1]
+    assert unpacked.answer is None
+
+
 def test_requests_are_unchanged():
     req = Request(
         request_id='i',
--- a/tests/services/test_cut_answers.py
+++ b/tests/services/test_cut_answers.py
@@ -214,7 +214,10 @@
 @pytest.mark.parametrize(
     'answer',
     [
+        SIZED.replace(b'200', b'000'),
         SIZED.replace(b'200', b'099'),
+        SIZED.replace(b'200', b'600'),
+        SIZED.replace(b'200', b'999'),
         SIZED.replace(b'Seal: s', b'Seal: \x01'),
         SIZED.replace(b'Seal: s', b'Seal: s\x7fs'),
         SIZED.replace(b'\r\n\r\n', b'\r\nX: a\x0b\r\n\r\n'),
--- a/tests/services/test_targets.py
+++ b/tests/services/test_targets.py
@@ -318,3 +318,31 @@
     result, _ = await exchange_with(Reply(data=data))
     assert result.body == b'ok'
     assert [name for name, _ in result.headers] == ['Not-Used']
+
+
+@pytest.mark.parametrize('status', [b'000', b'099', b'600', b'999'])
+@pytest.mark.parametrize('max_buffered_bytes', [1, 65536])
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+async def test_an_answer_with_a_status_that_http_does_not_have_is_none(
+    status, max_buffered_bytes, method
+):
+    """It was passed on, buffered or streamed, to callers and to peers."""
+    answer = b'HTTP/1.1 %s OK\r\nContent-Length: 4\r\n\r\nbody' % status
+    target = RawTarget(plan=lambda *_: Reply(data=answer))
+    req = Request(
+        request_id='r',
+        service='s',
+        kind='k',
+        caller='c',
+        method=method,
+        path='/',
+        body=b'',
+    )
+    options = evolve(OPTIONS, max_buffered_bytes=max_buffered_bytes)
+    async with await start_server(target.serve, '127.0.0.1', 0) as server:
+        port = server.sockets[0].getsockname()[1]
+        client = TargetClient(address=f'127.0.0.1:{port}')
+        result = await client.exchange(req, options, new_connection=True)
+        assert isinstance(result, BrokenExchange)
+        assert not await client.probe('/', 1.0)
+        await client.close()
