A target of carawayd with a malformed address ends no process

A health probe of a target `h..x:80` raised UnicodeError in a task whose failure stops the process; a request to a target whose address is malformed was said to have possibly run, though it was never sent; one that was forwarded to such a member ended with ValueError. A port of 5,000 digits in a setting ended with a traceback.

Change: the configuration, connections to targets and members, and `carawayctl where` use `split_host_port`, which accepts an IP address or a name that can be looked up. Stored documents are not checked again, so that an upgrade loses none; such a target is never reached.

--- a/carawaylane/commands/where.py
+++ b/carawaylane/commands/where.py
@@ -18,6 +18,10 @@
 
 from carawaylane.gateway.caller_requests import host_and_path
 from carawaylane.gateway.links import RPC_ERRORS
+from carawaylane.kernel.addresses import (
+    InvalidAddressError,
+    split_host_port,
+)
 from carawaylane.messages.outcomes import Problem
 from carawaylane.rpc.fleet_grpc import FleetStub
 from carawaylane.rpc.fleet_pb2 import (
@@ -222,10 +226,11 @@
 
 async def _ask(address: str, method: str, msg: Message) -> Any:
     """Call a method of a node; return NoReply if there is no reply."""
-    host, _, port = address.rpartition(':')
-    if not port.isdecimal():
+    try:
+        host, port = split_host_port(address)
+    except InvalidAddressError:
         return NoReply(address=address, reason='is not HOST:PORT')
-    channel = Channel(host, int(port))
+    channel = Channel(host, port)
     try:
         async with timeout(TIMEOUT_S):
             return await getattr(FleetStub(channel), method)(msg)
--- a/carawaylane/config/schema.py
+++ b/carawaylane/config/schema.py
@@ -16,6 +16,10 @@
     parse_selector,
 )
 from carawaylane.decisions.targets.detector import detector_names
+from carawaylane.kernel.addresses import (
+    InvalidAddressError,
+    split_host_port,
+)
 
 MAX_SHARDS = 64
 MAX_SLOTS = 1024
@@ -166,9 +170,10 @@
     def problems(self) -> list[str]:
         """Return a message for each invalid value."""
         problems = _range_problems('slots', self.slots, 0, MAX_SLOTS)
-        host, _, port = self.address.rpartition(':')
-        if not host or not port.isdecimal() or int(port) > 65535:
-            problems.append(f'address {self.address!r} is not HOST:PORT')
+        try:
+            split_host_port(self.address)
+        except InvalidAddressError:
+            problems.append(f'address {self.address[:64]!r} is not HOST:PORT')
         if self.state not in STATES:
             states = ', '.join(STATES)
             problems.append(f'label {STATE_LABEL} must be one of {states}')
--- a/carawaylane/services/peers.py
+++ b/carawaylane/services/peers.py
@@ -16,6 +16,7 @@
 )
 from h2.exceptions import H2Error
 
+from carawaylane.kernel.addresses import split_host_port
 from carawaylane.kernel.service import Service, service
 from carawaylane.kernel.timeouts import ReplyTimeout
 from carawaylane.messages.exchange import AnswerChunk, Request
@@ -238,8 +239,8 @@
             raise NeverSentError(member)
         connection = self._connections.get(address)
         if connection is None:
-            host, _, port = address.rpartition(':')
-            channel = Channel(host, int(port))
+            host, port = split_host_port(address)
+            channel = Channel(host, port)
             connection = _Connection(channel=channel, stub=NodeStub(channel))
             self._connections[address] = connection
         await connection.channel.__connect__()
--- a/carawaylane/services/targets.py
+++ b/carawaylane/services/targets.py
@@ -20,6 +20,10 @@
 
 from carawaylane.gateway.small_reads import READ_BYTES
 from carawaylane.gateway.streamed_answers import AnswerStream
+from carawaylane.kernel.addresses import (
+    InvalidAddressError,
+    split_host_port,
+)
 from carawaylane.kernel.timeouts import ReplyTimeout
 from carawaylane.messages.outcomes import (
     NO_BACKPRESSURE,
@@ -198,10 +202,10 @@
         The host may still accept a connection for a process that is dying;
         it resets the connection once the process is gone.
         """
-        host, _, port = self.address.rpartition(':')
         try:
+            host, port = split_host_port(self.address)
             async with ReplyTimeout(LIVENESS_CONNECT_TIMEOUT_S):
-                reader, writer = await open_connection(host, int(port))
+                reader, writer = await open_connection(host, port)
         except OSError:
             return False
         try:
@@ -240,6 +244,10 @@
             sock_connect=CONNECT_TIMEOUT_S,
             sock_read=options.read_timeout_s,
         )
+        try:
+            split_host_port(self.address)
+        except InvalidAddressError as exc:
+            return NeverSent(reason=type(exc).__name__)
         try:
             async with ReplyTimeout(options.head_timeout_s):
                 resp = await session.request(
@@ -267,6 +275,7 @@
         session = self._session(new_connection=True)
         timeouts = ClientTimeout(total=timeout_s)
         try:
+            split_host_port(self.address)
             async with session.get(
                 f'http://{self.address}{path}', timeout=timeouts
             ) as resp:
--- a/carawaylane/settings/option.py
+++ b/carawaylane/settings/option.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from re import fullmatch
 from typing import Any
 
 from attrs import field, frozen
@@ -72,8 +73,8 @@
     def check(self, text: str) -> str:
         """Return the address, or raise OptionError."""
         host, _, port = text.rpartition(':')
-        if not host or not port.isdecimal() or int(port) > 65535:
-            raise OptionError(f'{text!r} is not an address HOST:PORT')
+        if not host or not fullmatch('[0-9]{1,5}', port) or int(port) > 65535:
+            raise OptionError(f'{text[:64]!r} is not an address HOST:PORT')
         return text
 
 
--- a/tests/config/test_documents.py
+++ b/tests/config/test_documents.py
@@ -41,6 +41,10 @@
         ('kind: Service\nname: s\nselector: "a=1,"', 'comma'),
         ('---\n' + SERVICE + '---\nkind: Target\nname: t', 'f.yaml:6'),
         (TARGET.format(name='t', port='x'), 'not HOST:PORT'),
+        (TARGET.format(name='t', port='9' * 5000), 'not HOST:PORT'),
+        ('kind: Target\nname: t\naddress: a..b:1', 'not HOST:PORT'),
+        ('kind: Target\nname: t\naddress: "[::1:1"', 'not HOST:PORT'),
+        ('kind: Target\nname: t\naddress: "10.1:1"', 'not HOST:PORT'),
         (
             TARGET.format(name='t', port=1) + 'labels: {state: gone}',
             'state must be one of',
--- a/tests/gateway/test_statuses.py
+++ b/tests/gateway/test_statuses.py
@@ -69,9 +69,7 @@
     assert len(received) == 1
 
 
-@pytest.mark.parametrize(
-    'status', [0, 1, 99, 100, 199, 600, 999, 2**32 - 1]
-)
+@pytest.mark.parametrize('status', [0, 1, 99, 100, 199, 600, 999, 2**32 - 1])
 def test_an_answer_from_a_peer_needs_a_status_of_http(status):
     """Peers with an older build pass others on."""
     answer = CompleteAnswer(
--- a/tests/services/test_peers.py
+++ b/tests/services/test_peers.py
@@ -2,7 +2,11 @@
 
 from asyncio import create_task, gather, sleep, start_server
 
+import pytest
+
+from carawaylane.messages.exchange import Request
 from carawaylane.rpc.node_pb2 import PingRequest
+from carawaylane.services.peers import NeverSentError
 
 CALLS = 3
 TIMEOUT_S = 0.5
@@ -34,3 +38,27 @@
     replies = await gather(first, *waiting, return_exceptions=True)
     server.close()
     assert replies == [None] * (1 + CALLS)
+
+
+@pytest.mark.parametrize(
+    'address', ['h..localhost:80', '[::1%a]:80', 'h:http', 'h:99999', ':']
+)
+async def test_a_member_whose_address_is_malformed_is_not_reached(
+    kernel, address
+):
+    """A request that was forwarded to it ended with ValueError."""
+    peers = kernel.find('peers')
+    req = Request(
+        request_id='r',
+        service='s',
+        kind='k',
+        caller='c',
+        method='GET',
+        path='/',
+        body=b'',
+        deadline_ms=kernel.now_ms() + 1000,
+    )
+    assert await peers.call(address, 'Ping', PingRequest(), 1.0) is None
+    with pytest.raises(NeverSentError):
+        async for _ in peers.forward(address, req, 0):
+            pass
--- a/tests/services/test_targets.py
+++ b/tests/services/test_targets.py
@@ -13,6 +13,7 @@
     BrokenExchange,
     CompleteAnswer,
     ExchangeOptions,
+    NeverSent,
     RefusedByTarget,
     StreamedAnswer,
     TargetClient,
@@ -346,3 +347,36 @@
         assert isinstance(result, BrokenExchange)
         assert not await client.probe('/', 1.0)
         await client.close()
+
+
+@pytest.mark.parametrize(
+    'address',
+    [
+        '127..1:80',
+        'h..localhost:80',
+        'x' * 64 + '.localhost:80',
+        '[::1%r\u00e9seau]:80',
+        '::1:80',
+        'h:http',
+        'h:' + '9' * 5000,
+        'http://127.0.0.1:80/',
+    ],
+    ids=lambda address: ascii(address[:12]),
+)
+async def test_a_target_whose_address_is_malformed_is_never_reached(address):
+    """A probe raised UnicodeError, which ended the process."""
+    client = TargetClient(address=address)
+    req = Request(
+        request_id='r',
+        service='s',
+        kind='k',
+        caller='c',
+        method='POST',
+        path='/',
+        body=b'',
+    )
+    result = await client.exchange(req, OPTIONS, new_connection=True)
+    assert isinstance(result, NeverSent)
+    assert not await client.probe('/', 1.0)
+    assert not await client.is_alive()
+    await client.close()
