Numbers out of range in answers, routes and messages end no home

Found by random messages, not reported: a home ended with exit code 70 by an answer of a target with `Server-Limit: 1e308` (OverflowError after 2 s), by a route with an objective below 1 ms (entries sent 0, ZeroDivisionError), and by rates or learned numbers of a peer that are infinite, NaN or huge. Each next home followed.

Cause: fields were checked for their type and not for their range.

Change: rates above 1e9, infinite or NaN limit nothing; objectives are rounded up to 1 ms; learned numbers out of range are dropped; all as they are parsed.

Before, with the new tests: of test_rate_limits.py `..._is_no_rate_...[1e308]` and `..._objective_below_1_ms_...`, and nine of test_fleet_codec.py failed.

--- a/carawaylane/decisions/targets/rate_limits.py
+++ b/carawaylane/decisions/targets/rate_limits.py
@@ -28,6 +28,8 @@
 # A target that takes no requests gets one at this rate all the same, since
 # only an answer can lift its limit.
 MIN_RATE_PER_S = 0.2
+# A target that names a higher rate is not limited by it.
+MAX_RATE_PER_S = 1e9
 
 
 @define(kw_only=True, eq=False, repr=False)
--- a/carawaylane/platform/headers.py
+++ b/carawaylane/platform/headers.py
@@ -7,6 +7,7 @@
 
 from attrs import frozen
 
+from carawaylane.decisions.targets.rate_limits import MAX_RATE_PER_S
 from carawaylane.messages.outcomes import Backpressure, InvalidNumber
 
 if TYPE_CHECKING:
@@ -137,12 +138,20 @@
         pauses = headers.getall(RETRY_AFTER_HEADER, [])
     leaving = headers.get(LEAVING_HEADER, NOT_LEAVING_VALUE)
     return Backpressure(
-        rate_limit=None if rate_limit is None else _read_number(rate_limit),
+        rate_limit=None if rate_limit is None else _read_rate(rate_limit),
         pause_s=_longest_pause(pauses),
         leaving=leaving.strip() != NOT_LEAVING_VALUE,
     )
 
 
+def _read_rate(text: str) -> float | InvalidNumber | None:
+    """Return a rate, None if it is so high that it limits nothing."""
+    number = _read_number(text)
+    if isinstance(number, float) and number > MAX_RATE_PER_S:
+        return None
+    return number
+
+
 def _longest_pause(texts: list[str]) -> float | InvalidNumber:
     """Return the longest of the pauses that can be read, if any can."""
     numbers = [_read_number(text) for text in texts]
--- a/carawaylane/rpc/fleet_codec.py
+++ b/carawaylane/rpc/fleet_codec.py
@@ -5,6 +5,7 @@
 from math import ceil
 from typing import TYPE_CHECKING
 
+from carawaylane.decisions.targets.rate_limits import MAX_RATE_PER_S
 from carawaylane.messages.dispatch import (
     AttemptCounts,
     AttemptKind,
@@ -43,7 +44,8 @@
         priority=request.priority,
         idempotent=request.idempotent,
         left_ms=int(request.left_s * 1000),
-        objective_ms=int(request.objective_s * 1000),
+        # Some routes aim at less than 1 ms.
+        objective_ms=ceil(request.objective_s * 1000),
         turn=request.attempt.value,  # type: ignore[arg-type]
         avoid=sorted(request.avoided_targets),
         digest=request.digest,
@@ -81,7 +83,8 @@
         priority=msg.priority,
         idempotent=msg.idempotent,
         left_s=msg.left_ms / 1000,
-        objective_s=msg.objective_ms / 1000,
+        # Older builds round down to 0, which no route aims at.
+        objective_s=max(msg.objective_ms, 1) / 1000,
         attempt=AttemptKind(msg.turn),
         avoided_targets=frozenset(msg.avoid),
         digest=msg.digest,
@@ -120,6 +123,11 @@
     )
 
 
+def read_rate(rate_per_s: float) -> float | None:
+    """Return a rate that a peer sent, None if it limits nothing."""
+    return rate_per_s if 0 <= rate_per_s <= MAX_RATE_PER_S else None
+
+
 def _pack_withheld(notice: BackpressureNotice) -> Withheld:
     return Withheld(
         target=notice.target,
@@ -140,7 +148,9 @@
         *(
             BackpressureNotice(
                 target=msg.target,
-                rate_per_s=msg.per_s if msg.HasField('per_s') else None,
+                rate_per_s=read_rate(msg.per_s)
+                if msg.HasField('per_s')
+                else None,
                 sent_age_s=msg.sent_age_ms / 1000,
                 heard_age_s=msg.heard_age_ms / 1000,
             )
--- a/carawaylane/rpc/learned_codec.py
+++ b/carawaylane/rpc/learned_codec.py
@@ -9,6 +9,10 @@
 )
 from carawaylane.rpc.fleet_pb2 import Learned
 
+# Far beyond all logarithms that are learned, so that no number overflows. NaN
+# is in no range.
+MAX_LOG = 20.0
+
 
 def pack_learned(digest: LearnedDigest) -> Learned:
     """Return the protobuf message of a digest."""
@@ -34,7 +38,7 @@
 
 
 def unpack_learned(msg: Learned) -> LearnedDigest:
-    """Return the digest in a protobuf message."""
+    """Return the digest in a protobuf message, without what is not sound."""
     return LearnedDigest(
         routes=tuple(
             LearnedRoute(
@@ -44,6 +48,7 @@
                 answers=route.answers,
             )
             for route in msg.routes
+            if abs(route.log_mean) <= MAX_LOG and 0 <= route.log_sd <= MAX_LOG
         ),
         targets=tuple(
             LearnedTarget(
@@ -52,5 +57,6 @@
                 answers=target.answers,
             )
             for target in msg.targets
+            if abs(target.slowness) <= MAX_LOG
         ),
     )
--- a/carawaylane/rpc/relay_codec.py
+++ b/carawaylane/rpc/relay_codec.py
@@ -8,6 +8,7 @@
 from carawaylane.decisions.targets.backpressure import MAX_PAUSE_S
 from carawaylane.messages.exchange import OutgoingRequest
 from carawaylane.messages.outcomes import Backpressure, InvalidNumber
+from carawaylane.rpc.fleet_codec import read_rate
 from carawaylane.rpc.fleet_pb2 import Header, RelayReply, RelayRequest
 from carawaylane.services.targets import (
     BrokenExchange,
@@ -154,7 +155,7 @@
     if msg.HasField('invalid_rate_limit'):
         rate_limit = InvalidNumber(text=msg.invalid_rate_limit)
     elif msg.HasField('rate_limit_per_s'):
-        rate_limit = msg.rate_limit_per_s
+        rate_limit = read_rate(msg.rate_limit_per_s)
     pause_s: float | InvalidNumber = msg.pause_ms / 1000
     if msg.HasField('invalid_pause'):
         pause_s = InvalidNumber(text=msg.invalid_pause)
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -171,3 +171,40 @@
     limits = dispatcher.pool.rate_limits
     assert len(limited.requests) == 4
     assert limits.rate_of('limited', home.now_s()) <= 1000
+
+
+@pytest.mark.parametrize('limit', [b'1e308', b'1e400', b'inf', b'-1', b'x'])
+async def test_a_limit_that_is_no_rate_does_not_end_a_home(fleet, limit):
+    """The home counted the requests that it allows up to infinity."""
+    data = OK.replace(b'Response-Seal', b'Server-Limit: %s\r\nResponse-Seal')
+    nodes = await start_nodes(fleet, 2)
+    await fleet.start_target('i-1', lambda *_: Reply(data=data % limit))
+    for node in nodes:
+        targets = node.find('directory').targets
+        await fleet.wait_until(lambda t=targets: 'i-1' in t)
+    for _ in range(2):
+        for node in nodes:
+            assert (await fetch(node, '/read/x')).status == 200
+        await sleep(2.2)
+    for node in nodes:
+        assert (await fetch(node, '/read/x')).status == 200
+        assert node.failure is None
+
+
+async def test_an_objective_below_1_ms_does_not_end_a_home(fleet):
+    nodes = await start_nodes(fleet, 2)
+    routes = plan_spec()['routes']
+    routes = [route | {'target_latency_ms': 0.4} for route in routes]
+    await fleet.start_target('i-1')
+    fleet.store.put('config', 'main', plan_spec(2, routes))
+    for node in nodes:
+        directory = node.find('directory')
+        await fleet.wait_until(
+            lambda d=directory: d.plan.version == 2 and 'i-1' in d.targets
+        )
+    for node in nodes:
+        for number in range(3):
+            response = await fetch(node, f'/read/{number}')
+            assert response.status in (200, 503)
+    for node in nodes:
+        assert node.failure is None
--- a/tests/rpc/test_fleet_codec.py
+++ b/tests/rpc/test_fleet_codec.py
@@ -131,3 +131,55 @@
         * MAX_TARGETS,
     )
     assert pack_learned(learned).ByteSize() <= 3000
+
+
+def request_aiming_at(objective_s, **changes):
+    return SlotRequest(
+        ticket=('e', 7),
+        data_centre='a',
+        route='r',
+        priority=2,
+        idempotent=True,
+        left_s=1.5,
+        objective_s=objective_s,
+        attempt=AttemptKind.FIRST,
+        avoided_targets=frozenset(),
+        digest=9,
+        **changes,
+    )
+
+
+def test_a_latency_objective_below_1_ms_is_not_0():
+    """A home divided by it, and ended."""
+    msg = pack_slot_request(request_aiming_at(0.0004), 's')
+    assert unpack_slot_request(msg, 'e', 'a').objective_s == 0.001
+    # As older builds send it.
+    msg.objective_ms = 0
+    assert unpack_slot_request(msg, 'e', 'a').objective_s == 0.001
+
+
+@pytest.mark.parametrize(
+    'rate_per_s', [1e300, float('inf'), float('nan'), -1.0]
+)
+def test_a_rate_that_limits_nothing_is_none(rate_per_s):
+    """A home counted up to infinity, and ended."""
+    notice = BackpressureNotice(
+        target='t', rate_per_s=rate_per_s, sent_age_s=0.0, heard_age_s=0.0
+    )
+    msg = pack_slot_request(request_aiming_at(1.0, notices=(notice,)), 's')
+    (unpacked,) = unpack_slot_request(msg, 'e', 'a').notices
+    assert unpacked.rate_per_s is None
+
+
+@pytest.mark.parametrize('odd', [float('inf'), float('nan'), 1e30, -1e30])
+def test_what_was_learned_is_sound(odd):
+    """A home could not tell when to hedge, and ended."""
+    sound = LearnedDigest(
+        routes=(LearnedRoute(route='r', log_mean=1.0, log_sd=0.5, answers=3),),
+        targets=(LearnedTarget(target='t', slowness=-0.5, answers=3),),
+    )
+    msg = pack_learned(sound)
+    msg.routes.add(route='a', log_mean=odd, log_sd=0.5, answers=3)
+    msg.routes.add(route='b', log_mean=1.0, log_sd=odd, answers=3)
+    msg.targets.add(target='c', slowness=odd, answers=3)
+    assert unpack_learned(msg) == sound
