A reply of a peer that is no message ends no node

Found by random messages, not reported: a reply that can't be decoded raised DecodeError, which is none of the errors of a call, in tasks of the synchronisation and of the streams to homes, and ended the node that had called. In `carawayd` a rumour of an unknown state did the same (by reading).

Change: DecodeError is one of the errors of a call; unknown states are left out.

--- a/carawaylane/gateway/links.py
+++ b/carawaylane/gateway/links.py
@@ -6,6 +6,7 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
+from google.protobuf.message import DecodeError
 from grpclib.client import Channel
 from grpclib.exceptions import (
     GRPCError,
@@ -45,6 +46,8 @@
     ProtocolError,
     StreamTerminatedError,
     TimeoutError,
+    # A reply that is no message.
+    DecodeError,
 )
 
 
--- a/carawaylane/services/membership.py
+++ b/carawaylane/services/membership.py
@@ -28,6 +28,7 @@
     from carawaylane.kernel.kernel import Kernel
 
 INDIRECT_PING_HELPERS = 2
+KNOWN_STATES = frozenset(state.value for state in MemberState)
 
 
 @service('membership')
@@ -168,6 +169,8 @@
                 incarnation=rumour.round,
             )
             for rumour in rumours
+            # Newer builds may know other states.
+            if rumour.state in KNOWN_STATES
         ]
         self.view.apply_rumours(unpacked_rumours, self.kernel.now_s())
         self._relay.pull_if_behind(member, 'config', config_seq)
--- a/carawaylane/services/peers.py
+++ b/carawaylane/services/peers.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Any
 
 from attrs import define
+from google.protobuf.message import DecodeError
 from grpclib.client import Channel
 from grpclib.exceptions import (
     GRPCError,
@@ -48,6 +49,8 @@
     H2Error,
     ProtocolError,
     StreamTerminatedError,
+    # A reply that is no message.
+    DecodeError,
     AsyncTimeoutError,
     ValueError,
 )
