--- a/carawaylane/config/documents.py
+++ b/carawaylane/config/documents.py
@@ -62,13 +62,13 @@
 def from_json(row: dict[str, Any]) -> Document:
     """Return the document in a JSON object made by `to_json`.
 
-    Raises one of the errors of JSON of another form for another object. An
-    address is not checked again: what an older build has stored stays known.
+    Raises `KeyError`, `TypeError`, `ValueError` or an error of the converter
+    for another one.
     """
     spec = dict(row)
     doc: Document = _CONVERTER.structure(spec, KINDS[spec.pop('kind')])
     problems = (
-        doc.state_problems() if isinstance(doc, Target) else doc.problems()
+        doc.stored_problems() if isinstance(doc, Target) else doc.problems()
     )
     if problems:
         raise ValueError('; '.join(problems))
--- a/carawaylane/config/schema.py
+++ b/carawaylane/config/schema.py
@@ -169,15 +169,19 @@
 
     def problems(self) -> list[str]:
         """Return a message for each invalid value."""
-        problems = self.state_problems()
+        problems = self.stored_problems()
         try:
             split_host_port(self.address)
         except InvalidAddressError:
             problems.append(f'address {self.address[:64]!r} is not HOST:PORT')
         return problems
 
-    def state_problems(self) -> list[str]:
-        """Return a message for each invalid value but the address."""
+    def stored_problems(self) -> list[str]:
+        """Return a message for each invalid value of a stored document.
+
+        Its address is not checked: the rules have become stricter, and what
+        is stored stays known.
+        """
         problems = _range_problems('slots', self.slots, 0, MAX_SLOTS)
         if self.state not in STATES:
             states = ', '.join(STATES)
--- a/carawaylane/decisions/ownership/fleet.py
+++ b/carawaylane/decisions/ownership/fleet.py
@@ -99,9 +99,7 @@
     leaving_hosts: set[str] = Factory(set)
 
     def apply(self, change: Change) -> None:
-        """Apply the operations of one change, or raise
-        `UnreadableChangeError`.
-        """
+        """Apply a change whole, or raise `UnreadableChangeError`."""
         draft = evolve(
             self,
             members=dict(self.members),
