Objects that are no changes do not make carawayd ask without a pause

The watcher now pauses as after a failed call if an answer came at once and brought no change.

Also an unused constant and a note on how a value was chosen are gone.

--- a/carawaylane/decisions/propagation/watch_duty.py
+++ b/carawaylane/decisions/propagation/watch_duty.py
@@ -31,7 +31,7 @@
 OUTAGE_STEP_S = 1.0
 MOST_OUTAGE_WATCHERS = 12
 # A call that is answered this late is announced as not answered, so that other
-# nodes try; the call goes on. Slow stores answer in 0.2 s.
+# nodes try; the call goes on, as a slow store is still used.
 LATE_ANSWER_S = 0.35
 # Time from that announcement until a node that ranks behind up to 15 others
 # has the answer to its own call, and from then until all nodes have it.
--- a/carawaylane/kernel/addresses.py
+++ b/carawaylane/kernel/addresses.py
@@ -7,7 +7,6 @@
 from re import compile as compile_pattern
 
 MAX_PORT = 65535
-MAX_HOST_NAME_CHARS = 253
 # An IPv6 address has brackets, since its end looks like a port.
 _PARTS = compile_pattern(
     r'(?:\[([0-9a-f:.]{2,45})\]|([^\[\]]{1,253})):([0-9]{1,5})',
--- a/carawaylane/services/watcher.py
+++ b/carawaylane/services/watcher.py
@@ -210,6 +210,7 @@
                 await sleep(RANK_CHECK_PERIOD_S)
                 continue
             seq = self._relay.seq(log)
+            asked_at_s = self.kernel.now_s()
             batch = await self._stores[log].watch(seq, WATCH_TIMEOUT_S)
             if isinstance(batch, Unavailable):
                 self._set_reachable(False)
@@ -221,6 +222,10 @@
             if batch.changes and self._relay.seq(log) == seq:
                 await self._load_missing_changes(log)
             await self._compact(log)
+            answered_in_s = self.kernel.now_s() - asked_at_s
+            if self._relay.seq(log) == seq and answered_in_s < RETRY_DELAY_S:
+                # Objects of another writer end each watch at once.
+                await sleep(RETRY_DELAY_S)
 
     async def _compact(self, log: str) -> None:
         seq = self._relay.seq(log)
